Ask discovery at the start: a gateway that has not asked counts as told

Every gateway at fault had no watch yet: n1 restarted at 14.028 and began "watching from version 2" at 16.037 s.

Cause: Watch.run waited for up to 0.1 s a gateway, 20 s at 200, before its first call, also after SIGHUP.

Chosen: the first call at once; the pause after a refusal grows with the fleet, 4 s at first; one that was served comes back within 1.5 s and no longer after up to 30 s.

--- a/gingerworks/gateway/discovery.py
+++ b/gingerworks/gateway/discovery.py
@@ -19,10 +19,10 @@
 
 SILENCE_S = 5.0  # an empty line comes every 2 s: two have failed to come by then
 CONNECT_S = 1.0
-CALL_S = (
-    0.1  # of discovery's time, for one call: what all gateways ask of it together stays under one in this
-)
+CALL_S = 0.1  # of discovery's time, for one call: what all gateways ask of it stays under one in this
 FIRST_PAUSE_S = 0.2  # at the least, however few the gateways
+REOPEN_PAUSE_S = 1.0  # at the most, after one that was served: an unheard change counts as told within 6 s
+REFUSED_PAUSE_S = 4.0  # at the most, the first time: by then, at a reload, what it has to tell counts as told
 LONGEST_PAUSE_S = 3.0
 LONGEST_PAUSES = 4.0  # ... or so many of the first, where that is longer
 LINE_BYTES = 1 << 20  # thousands of servers in one line; more is no list
@@ -104,18 +104,20 @@
         self._index = index
         self._told = told
         self._rng = random.Random(seed)
-        # Guards against a fleet that starts, or loses discovery, together: it has one capacity for all, a
-        # call that waits in vain costs it as much as one answered, and such calls again keep it jammed.
+        # Guards against a fleet that was refused together: discovery has one capacity for all, a call that
+        # waits in vain costs it as much as one answered, and such calls again keep it jammed.
         self._spread_s = CALL_S * gateways
         self._buffer = b""
         self._heard = self._ended = False
 
     async def run(self) -> None:
-        """Keep a watch open; after a failure the next one comes after a pause that grows up to a bound."""
-        first = max(FIRST_PAUSE_S, self._spread_s)
-        wait, longest = first, max(LONGEST_PAUSE_S, LONGEST_PAUSES * first)
-        if self._spread_s > FIRST_PAUSE_S:
-            await pause(self._spread_s * self._rng.random())
+        """Keep a watch open, from the first moment on; after failures pauses grow up to a bound.
+
+        Guards against a list that is not heard while it changes: a gateway that has not asked counts as told.
+        """
+        first = max(FIRST_PAUSE_S, min(self._spread_s, REFUSED_PAUSE_S))
+        reopen = max(FIRST_PAUSE_S, min(self._spread_s, REOPEN_PAUSE_S))
+        wait, longest = 0.5 * first, max(LONGEST_PAUSE_S, LONGEST_PAUSES * first, self._spread_s)
         while True:
             why, self._heard = "it ended", False
             try:
@@ -126,10 +128,12 @@
                 # Guards against a fault that nobody thought of ending the watch for good, in silence.
                 log.exception("discovery: the watch failed")
                 why, self._index = "a fault", 0
-            wait = first if self._heard else min(longest, 2 * wait)
+            # One that was served comes back soon, as it misses changes; one that was not has met a crowd.
+            wait = min(longest, 2 * wait)
+            delay, wait = (reopen, 0.5 * first) if self._heard else (wait, wait)
             log.info("discovery: watch to be reopened: %s", why)
             # Jitter: gateways that lost one discovery together must not come back to it together.
-            await pause(wait * (0.5 + self._rng.random()))
+            await pause(delay * (0.5 + self._rng.random()))
 
     async def _follow(self) -> None:
         host, port = self._address
