--- /dev/null
+++ b/tests/test_bounds.py
@@ -0,0 +1,113 @@
+"""Tables over a long day: what is keyed by a customer, server, request or connection does not pile up."""
+
+from __future__ import annotations
+
+import pytest
+
+from gingerworks import interface as io
+from gingerworks.gateway.config import config_from
+from gingerworks.gateway.discovery import Change, change_from
+from gingerworks.gateway.requests import Checks
+from gingerworks.policy import Policy
+from tests.loopback import OK, Client, answering, ask, entry, gateway, listing, raw_config, run, until
+from tests.support import MS, outcome, request, server, started
+from tests.support import listing as listed
+
+HOUR_S = 3600
+EVERY_MS = 250  # four requests a second, as one gateway of a large fleet sees
+
+
+def answers(actions: list[io.Action], statuses: list[io.Status]) -> list[io.Event]:
+    """An outcome for each attempt, in turn one of these, and no answer in time for each call."""
+    events: list[io.Event] = []
+    for action in actions:
+        if isinstance(action, io.Assign):
+            statuses.append(statuses.pop(0))
+            status = statuses[-1]
+            events.append(outcome(action.id, 0, status, status is io.Status.DELIVERED))
+        elif isinstance(action, io.Count):
+            events.append(io.Counted(action.count, io.Status.EXPIRED, 0.0, 80 * MS))
+        elif isinstance(action, io.Revoke):
+            events.append(outcome(action.id, action.attempt, io.Status.REVOKED))
+    return events
+
+
+def sizes(policy: Policy) -> dict[str, int]:
+    """How much the module holds of each kind."""
+    return {
+        "customers": len(policy.quotas.customers),
+        "calls": len(policy.quotas.calls),
+        "servers": len(policy.servers.backends),
+        "requests": len(policy.tickets),
+        "plans ahead": len(policy.agenda),
+    }
+
+
+def test_an_hour_of_new_customers_and_servers_leaves_the_modules_tables_flat() -> None:
+    policy = started(server("s0"), server("s1"))
+    statuses = [io.Status.DELIVERED, io.Status.SHED, io.Status.EXPIRED, io.Status.ERROR, io.Status.DROPPED]
+    most: dict[str, int] = {}
+    quarters: list[dict[str, int]] = []
+    for n in range(HOUR_S * 1000 // EVERY_MS):
+        now = (n + 1) * EVERY_MS * MS
+        plan, kind = ("free", "small", "capped")[n % 3], ("look", "put", "post")[n // 3 % 3]
+        events: list[io.Event] = [request(n, class_name=kind, plan=plan, customer=f"new{n}")]
+        if n % 40 == 0:  # one server is replaced every ten seconds
+            gone = server(f"s{n // 40}", phase=io.Phase.GONE)
+            come = server(f"s{n // 40 + 2}", started_ns=now)
+            events.insert(0, listed(gone, come, mode=io.ListMode.DELTA))
+        replies = answers(policy.handle(now, events), statuses)
+        while replies:
+            replies = answers(policy.handle(now + 80 * MS, replies), statuses)
+        for name, size in sizes(policy).items():
+            most[name] = max(most.get(name, 0), size)
+        if (n + 1) % (HOUR_S * 1000 // EVERY_MS // 4) == 0:
+            quarters.append(most)
+            most = {}
+    assert quarters[0]["customers"] > 20  # the day does fill the tables
+    assert all(size <= 1.2 * quarters[0][name] + 5 for last in quarters[1:] for name, size in last.items())
+    assert quarters[-1]["customers"] <= 400
+    assert quarters[-1]["plans ahead"] <= 400
+    assert quarters[-1]["servers"] <= 3
+
+
+def test_replaced_servers_and_clients_that_leave_take_their_connections_along() -> None:
+    async def scenario() -> None:
+        made = gateway()
+        peers = [await answering(OK) for _ in range(6)]
+        for index, peer in enumerate(peers, 1):
+            change = backend_list(index, peer.address)
+            made.runtime.listed(change)
+            clients = [await Client.to(made) for _ in range(4)]
+            assert [(await client.send(ask()))[0] for client in clients] == [200] * 4
+            for client in clients:
+                client.writer.close()
+        await until(lambda: not made.frontend._clients)
+        pools, runtime = made.backends, made.runtime
+        assert len(pools._endpoints) == 1
+        assert set(pools._idle) <= {"s6"}
+        assert {each.endpoint.server.name for each in pools._open} <= {"s6"}
+        await until(lambda: not runtime._held)
+        tables = (made.frontend._new, made.frontend._idle, made.frontend._leaving, made.frontend._evicted)
+        assert not any(tables)
+        assert made.frontend._stored == 0
+
+    run(scenario())
+
+
+def backend_list(index: int, address: tuple[str, int]) -> Change:
+    """The whole list: this server, the former ones have gone."""
+    return change_from(listing(entry(f"s{index}", address), index=index))
+
+
+def test_ids_seen_long_ago_are_forgotten(monkeypatch: pytest.MonkeyPatch) -> None:
+    now = [0]
+    monkeypatch.setattr("gingerworks.gateway.clock.now", lambda: now[0])
+
+    checks = Checks(config_from(raw_config()).settings)
+    most = 0
+    for n in range(2000):
+        now[0] = n * 100 * MS
+        checks._remember(b"%016x" % n)
+        most = max(most, len(checks._ids) + len(checks._older_ids))
+    assert 40 <= most <= 2 * 40 + 2  # ten a second, for the longest deadline of 4 s and at most as long again
