Take in clients only once discovery has answered a gateway's first call

No list changed at 12.73 s; the server had begun to drain at 11.54 s, while 42 gateways were down, and their restarts took 0.2 to 0.3 s. The logs show up to 0.367 s from "listening on" to "watching from version" at one gateway.

Cause: Gateway.start listened at once with the old list, and a start on a small part of a core (serve also ran the collector between the two) takes longer than a drain's grace, which runs from the start on. Ruled out: a change of the list at that moment, and the pauses of the watch (it was asked at once).

Chosen: connections wait in the backlog until discovery has answered, has failed or has had a second, as long as a connection may take to come up; the collector runs before. A discovery that is down delays a start by a second at most.

--- a/gingerworks/gateway/__main__.py
+++ b/gingerworks/gateway/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import logging
 import os
@@ -21,6 +22,7 @@
 
 OWN_SOCKETS = 48  # standard streams, the loop's, the listener, discovery, the counter, and some to spare
 CLIENT_SHARE = 0.55  # of the rest; servers get what is left
+FIRST_LIST_S = 1.0  # for discovery's first answer: as long as a connection to it may take to come up
 
 log = logging.getLogger("gateway")
 
@@ -37,9 +39,10 @@
         self.runtime = Runtime(loop, config, self.backends)
         self.frontend = Frontend(loop, self.runtime, config.settings, clients)
         self._watch: asyncio.Task[None] | None = None
+        self._opening: asyncio.Task[None] | None = None
 
     def start(self) -> None:
-        """Listen, and begin to follow discovery; neither it nor the counter need be up."""
+        """Begin to follow discovery, then to serve; neither it nor the counter need be up."""
         index = 0
         try:
             known = change_from(self._config.known)
@@ -47,16 +50,28 @@
             index = known.index
         except ValueError as fault:
             log.warning("known: %s; the list comes from discovery alone", fault)
-        self._follow(self._config.discovery, index)
+        watch = self._follow(self._config.discovery, index)
         self.frontend.listen(self._config.listen)
+        self._opening = self._loop.create_task(self._open(watch))
         log.info("%s: listening on %s:%d", self._config.name, *self.frontend.address)
 
-    def _follow(self, discovery: Address, index: int) -> None:
+    async def _open(self, watch: Watch) -> None:
+        """Take in clients once discovery has answered, has failed, or has had its time.
+
+        Guards against sending to whom only the old list calls ready: what discovery has to tell counts as
+        told from the start on, and a start on a small part of a core lasts longer than a drain's grace.
+        """
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(watch.settled.wait(), FIRST_LIST_S)
+        self.frontend.accept()
+
+    def _follow(self, discovery: Address, index: int) -> Watch:
         if self._watch is not None:
             self._watch.cancel()  # closes its connection as it ends
         gateways = self._config.settings.gateways
         watch = Watch(discovery, index, self._config.seed, self.runtime.listed, gateways)
         self._watch = self._loop.create_task(watch.run())
+        return watch
 
     def reload(self, environment: Mapping[str, str]) -> None:
         """Follow the discovery and the counter that the file names now; all else waits for a restart.
@@ -78,8 +93,9 @@
     async def ended(self) -> None:
         """Wait for the graceful end that ``frontend.end`` begins, then let go of all."""
         await self.frontend.finished.wait()
-        if self._watch is not None:
-            self._watch.cancel()
+        for task in (self._watch, self._opening):
+            if task is not None:
+                task.cancel()
         self.backends.close()
         self.runtime.close()
 
@@ -91,9 +107,9 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, gateway.frontend.end)
     loop.add_signal_handler(signal.SIGHUP, gateway.reload, os.environ)
-    gateway.start()
     gc.collect()
     gc.freeze()  # what the start has made stays: the collector need not look at it again
+    gateway.start()
     await gateway.ended()
 
 
--- a/gingerworks/gateway/discovery.py
+++ b/gingerworks/gateway/discovery.py
@@ -109,6 +109,7 @@
         self._spread_s = CALL_S * gateways
         self._buffer = b""
         self._heard = self._ended = False
+        self.settled = asyncio.Event()  # the first answer has been taken in, or the first call has failed
 
     async def run(self) -> None:
         """Keep a watch open, from the first moment on; after failures pauses grow up to a bound.
@@ -128,6 +129,7 @@
                 # Guards against a fault that nobody thought of ending the watch for good, in silence.
                 log.exception("discovery: the watch failed")
                 why, self._index = "a fault", 0
+            self.settled.set()
             # One that was served comes back soon, as it misses changes; one that was not has met a crowd.
             wait = min(longest, 2 * wait)
             delay, wait = (reopen, 0.5 * first) if self._heard else (wait, wait)
@@ -174,6 +176,7 @@
             raise ValueError("a line is too long")
         for line in lines:
             if not line.strip():
+                self.settled.set()
                 continue
             try:
                 change = change_from(json.loads(line))
@@ -186,3 +189,4 @@
                 raise ValueError("a change older than the list")
             self._index = change.index
             self._told(change)
+            self.settled.set()
--- a/gingerworks/gateway/frontend.py
+++ b/gingerworks/gateway/frontend.py
@@ -60,13 +60,16 @@
         self._last_call: asyncio.TimerHandle | None = None
 
     def listen(self, address: Address) -> None:
-        """Listen on this address only."""
+        """Listen on this address only; who connects stays in the backlog until ``accept``."""
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind(address)
         listener.listen(BACKLOG)
         self._listener = listener
+
+    def accept(self) -> None:
+        """Begin to take in who connects."""
         self._resume()
 
     @property
--- a/tests/test_gateway_reload.py
+++ b/tests/test_gateway_reload.py
@@ -154,3 +154,44 @@
     process.terminate()
     assert process.wait(timeout=30) == 0
     process.stderr.close()
+
+
+def test_no_client_is_taken_in_before_discovery_has_told_what_the_old_list_lacks() -> None:
+    # Restarted gateways sent to servers that had begun to drain while they were down, and broke the rule.
+    async def scenario() -> None:
+        old, new = await answering(OK), await answering(OK)
+        tells = asyncio.Event()
+
+        async def script(peer: Peer, reader: Reader, writer: Writer) -> None:
+            peer.requests.append(await reader.readuntil(b"\r\n\r\n"))
+            await tells.wait()
+            draining = entry("s0", old.address, "Terminating")
+            writer.write(HEAD + line(listing(draining, entry("s1", new.address), index=9)))
+            await reader.read()
+
+        peer = await Peer(script).start()
+        made = gateway(old.address, discovery=at(peer))
+        client = await Client.to(made)
+        client.writer.write(ask())
+        await until(lambda: len(peer.requests) == 1)
+        await asyncio.sleep(0.05)
+        assert not old.requests
+        tells.set()
+        assert (await client.answer())[0] == 200
+        assert (len(old.requests), len(new.requests)) == (0, 1)
+
+    run(scenario())
+
+
+def test_a_discovery_that_stays_silent_keeps_no_gateway_from_serving(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("gingerworks.gateway.__main__.FIRST_LIST_S", 0.05)
+
+    async def scenario() -> None:
+        async def script(peer: Peer, reader: Reader, writer: Writer) -> None:
+            await reader.read()
+
+        peer, server = await Peer(script).start(), await answering(OK)
+        made = gateway(server.address, discovery=at(peer))
+        assert (await (await Client.to(made)).send(ask()))[0] == 200
+
+    run(scenario())
