Give the unheard only what a ceiling leaves beside the quota

The counter had been back for 9 s, so what it held when it came back empty is not the cause: from 24.2 s to 25.7 s the gateways granted 27 units from their parts, which hold all of the ceiling together, and as many from readings. A reading took from its own gateway's part, down to as much owed as it holds; where one gateway sees most of a customer (n184), that bounds nothing for the twelve others. Ruled out: a repair left standing (21.6 of 23.6 were taken back 37 ms later) and clock or name changes (one name throughout).

Readings book within the quota, so the parts now share what the ceiling leaves beside it, and together they stay within the ceiling; a reading takes from no part any more. Where the ceiling leaves nothing beside the quota, readings grant nothing beyond a part. Unused refill that is let stand in a count under a ceiling is held to the half of the slack that the parts leave, as it is granted on top.

--- a/gingerworks/policy.py
+++ b/gingerworks/policy.py
@@ -93,12 +93,18 @@
         first = self.share if settings.has_counter else max(self.share, settings.max_units)
         self.gap = GapCounter(cap, first, quotas.rng.random())
         self.ceiling: GapCounter | None = None
-        self.ceiling_even = plan.ceiling_rate / entries
+        # Rule 5: what readings book is within the quota, so what no reading books shares all that the ceiling
+        # leaves beside it; where it leaves nothing, readings grant nothing beyond a part either.
+        beside = plan.ceiling_burst - plan.burst, plan.ceiling_rate - plan.rate
+        self.apart = settings.has_counter and plan.rate > 0 and min(beside) > 0
+        store, rate = beside if self.apart else (plan.ceiling_burst, plan.ceiling_rate)
+        self.ceiling_even = rate / entries
+        self.credit = CREDIT * cap
         if plan.ceiling_rate > 0:
-            # Rule 5 after a restart: nobody knows what this gateway let through before, so it starts empty.
-            share = (plan.ceiling_burst + SLACK_USED * plan.ceiling_slack) / entries
-            self.ceiling = GapCounter(share, 0.0, 0.0)
+            # After a restart nobody knows what this gateway let through before, so it starts empty.
+            self.ceiling = GapCounter((store + SLACK_USED * plan.ceiling_slack) / entries, 0.0, 0.0)
             self.ceiling.refill(self.ceiling_even * (now - quotas.start) / SECOND)
+            self.credit = min(self.credit, (1 - SLACK_USED) * plan.ceiling_slack)
         self.even = plan.rate / entries
         self.others = plan.rate - self.even
         self.used = -math.inf  # not known
@@ -157,7 +163,8 @@
         untold, least, wrong = max(0.0, self.pending), self.least_used(now), 0.0
         # A full store takes no refill, lost counts seem unused, use beyond an empty store takes nothing: all
         # are put right by the first who sees it; who finds that done takes its own repair back.
-        if before < least - CREDIT * self.gap.cap / asking:
+        credit = self.credit / (asking if self.ceiling is None else 1.0)
+        if before < least - credit:
             wrong = least - before
         elif before * asking**2 > (1 + CREDIT) * self.gap.cap:
             wrong = self.gap.cap - before
@@ -650,12 +657,12 @@
         """Send on a request, or refuse it for want of a server; ``heard``: a reading has booked it."""
         customer, units = ticket.customer, ticket.request.units
         backend = self.choose(ticket)
+        heard = heard and customer.apart
         if backend is None or not (heard or customer.unheard(units)):
             return self.decline(ticket, 0)
         customer.gap.shift(-charge)
-        if customer.ceiling is not None:
-            # What a reading has booked needs no part of the ceiling, but leaves the unheard the less of it.
-            customer.ceiling.shift(-min(units, customer.ceiling.level + customer.ceiling.cap))
+        if customer.ceiling is not None and not heard:
+            customer.ceiling.shift(-units)
         self.budget.refill(RETRY_SHARE)
         return self.send(ticket, backend)
 
