Read lists that are indented over several lines

Objects counts the brackets outside of strings and gives out an object when they close, on one line or on many. An object that broke off must not swallow what follows it: the next empty line (every 2 s) or a whole list on one line ends the watch, and the whole list is asked for anew. What does not begin with a brace is junk at once.

--- a/gingerworks/gateway/discovery.py
+++ b/gingerworks/gateway/discovery.py
@@ -8,6 +8,7 @@
 import logging
 import math
 import random
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -34,6 +35,8 @@
 
 PHASES = {"Ready": io.Phase.READY, "Terminating": io.Phase.DRAINING, "Gone": io.Phase.GONE}
 
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
+
 log = logging.getLogger(__name__)
 pause = asyncio.sleep
 
@@ -96,6 +99,40 @@
     return Endpoint(server, address)
 
 
+class Objects:
+    """Cuts the stream into its JSON objects, each on a line of its own or indented over several."""
+
+    def __init__(self) -> None:
+        self._lines: list[bytes] = []
+        self._size = self._depth = 0
+
+    def add(self, line: bytes) -> bytes | None:
+        """Take in a line that is not empty; the object that it ends, or none.  Junk: ``ValueError``.
+
+        Guards against an object that broke off swallowing all that follows it: no object holds a list of its
+        own kind on one line, and the empty lines that come within 2 s are told by ``broken_off``.
+        """
+        bare = _STRING.sub(b"", line)
+        turn = bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+        first = line.lstrip().startswith(b"{")
+        if not first if not self._lines else first and turn == 0 and b'"endpoints"' in line:
+            raise ValueError("a line that cannot be read")
+        self._lines.append(line)
+        self._size += len(line)
+        self._depth += turn
+        if self._size > LINE_BYTES:
+            raise ValueError("a line is too long")
+        if self._depth > 0:
+            return None
+        whole = b"\n".join(self._lines)
+        self._lines, self._size, self._depth = [], 0, 0
+        return whole
+
+    def broken_off(self) -> bool:
+        """Whether an object has begun and has not ended."""
+        return bool(self._lines)
+
+
 class State(Enum):
     """How far a watch has come; what its end then means."""
 
@@ -120,6 +157,7 @@
         # waits in vain costs it as much as one answered, and such calls again keep it jammed.
         self._spread_s = CALL_S * gateways
         self._buffer = b""
+        self._objects = Objects()
         self._state = State.DIALLING
         self._ended = False
         self.settled = asyncio.Event()  # the first answer has been taken in, or the first call has failed
@@ -158,7 +196,7 @@
             self._state = State.ASKED
             target = f"/catalog/members?follow=1&since={self._index}"
             writer.write(f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
-            self._buffer, self._ended = b"", False
+            self._buffer, self._objects, self._ended = b"", Objects(), False
             parser = httptools.HttpResponseParser(self)
             while not self._ended:
                 data = await self._read(reader)
@@ -196,18 +234,23 @@
         if len(self._buffer) > LINE_BYTES:
             raise ValueError("a line is too long")
         for line in lines:
-            if not line.strip():
-                self.settled.set()
-                continue
             try:
-                change = change_from(json.loads(line))
-            except (ValueError, RecursionError):
+                self._take_line(line)
+            except (ValueError, RecursionError) as fault:
                 self._index = 0  # something is missed now: ask for the whole list
-                raise ValueError("a line that cannot be read") from None
+                raise ValueError(f"a line that cannot be read: {fault}") from None
+
+    def _take_line(self, line: bytes) -> None:
+        if line.strip():
+            text = self._objects.add(line)
+            if text is None:
+                return
+            change = change_from(json.loads(text))
             if not change.full and change.index < self._index:
                 # Guards against a version that was far too high shutting out all later changes.
-                self._index = 0
                 raise ValueError("a change older than the list")
             self._index = change.index
             self._told(change)
-            self.settled.set()
+        elif self._objects.broken_off():
+            raise ValueError("it broke off")
+        self.settled.set()
--- a/tests/test_gateway_discovery.py
+++ b/tests/test_gateway_discovery.py
@@ -341,3 +341,40 @@
     monkeypatch.setattr(discovery, "pause", pause)
     run(scenario())
     assert max(paused) <= 0.1
+
+
+def chunked(text: bytes) -> bytes:
+    """As chunks of seven bytes: they end anywhere."""
+    parts = [text[at : at + 7] for at in range(0, len(text), 7)]
+    return b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+
+
+@pytest.mark.parametrize("indent", [0, 1, 4])
+@pytest.mark.parametrize("ending", ["\n", "\r\n"])
+def test_a_list_may_be_indented_over_several_lines(indent: int, ending: str) -> None:
+    async def scenario() -> None:
+        odd = entry('a"{[', ("127.0.0.1", 1))  # brackets and quotes in a name belong to no object
+        lists = [listing(odd, index=6), listing(entry("b", ("127.0.0.1", 2)), index=7, snapshot=False)]
+        text = "".join(json.dumps(one, indent=indent).replace("\n", ending) + ending for one in lists)
+        plain = json.dumps(listing(index=8, snapshot=False)) + "\n"
+        peer, told = await watching([chunked((text + ending + plain).encode())])
+        await until(lambda: len(told) == 3)
+        assert [(change.index, change.full) for change in told] == [(6, True), (7, False), (8, False)]
+        assert told[0].endpoints[0].server.name == 'a"{['
+        assert peer.connections == 1
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    "behind", [b"\n", json.dumps(listing(index=7)).encode() + b"\n"], ids=["empty", "a list"]
+)
+def test_a_list_that_broke_off_swallows_nothing_that_follows(behind: bytes) -> None:
+    async def scenario() -> None:
+        broken = json.dumps(listing(entry("a", ("127.0.0.1", 1)), index=6), indent=2).encode()[:60]
+        peer, told = await watching([chunked(broken + b"\n" + behind)], [line(listing(index=9))])
+        await until(lambda: len(told) == 1)
+        assert peer.requests[1] == b"/catalog/members?follow=1&since=0"
+        assert told[0].index == 9
+
+    run(scenario())
