End on no request that waits in the backlog, was read ahead, or has just come

Seen by reading, each confirmed by a test that fails with the former code:

- A connection accepted but not yet attached to its transport was passed over by _close_idle as the listener closed, and nobody looked again: it stood open until the end closed it, with whatever had come on it.
- _answer said Connection: close on the first answer after SIGTERM though further requests of that client had been read, or begun to be; they were dropped.
- _give_up ended the process half a second after the last answer without looking whether a request had come.
- SIGTERM before the first accept left who waited in the backlog unread until the listener closed, 0.6 s later.

Now the listener closes once an accept finds nobody waiting, for which a full table waits; an attached connection is looked at again; the last answer of a connection is the one behind which nothing has come (for 2 s after SIGTERM, as one that sends without end has no last one); the end waits for what is unread.

Found sound, each with a test now: a second SIGTERM, a request half written to its server, a hung server (its request is answered in its time), a half-sent request at SIGTERM. Nothing but the end changes.

--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -61,6 +61,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Transport's callback."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's has no such base
+        self.frontend.attached()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Transport's callback: whoever waited here has gone."""
@@ -220,7 +221,7 @@
             self._release()
         if self.transport is None:
             return
-        keep = self.keep_alive and not self.frontend.ending
+        keep = self.keep_alive and not (self.frontend.ending and self._said_all())
         self.transport.write(
             b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b%b\r\n%b"
             % (
@@ -245,6 +246,13 @@
         else:
             self.transport.close()  # what was written is sent first
 
+    def _said_all(self) -> bool:
+        """While ending: whether this answer is the last, as no further request has come, or begun to.
+
+        Guards against dropping a request that was taken, as a client that writes ahead has several here.
+        """
+        return not (self.ready or self.reading or (self.frontend.lasts() and self.unread()))
+
     def _release(self) -> None:
         self.frontend.store(-self.stored)
         self.stored = 0
--- a/gingerworks/gateway/frontend.py
+++ b/gingerworks/gateway/frontend.py
@@ -89,21 +89,23 @@
             self._reading = False
             self.loop.remove_reader(self._listener.fileno())
 
-    def _accept(self) -> None:
+    def _accept(self) -> bool:
+        """Take in who waits, so many at once; whether nobody waits any more."""
         for _ in range(ACCEPT_AT_ONCE):
             if self._listener is None:
-                return
+                return True
             if len(self._clients) >= self._budget:
                 return self._wait_for_room()
             try:
                 sock, _peer = self._listener.accept()
             except BlockingIOError:
-                return
+                return True
             except OSError as fault:
                 # Guards against running out of descriptors: who waits stays in the backlog meanwhile.
                 log.warning("accept: %s", fault)
                 return self._wait_for_room()
             self._begin(sock)
+        return False
 
     def _begin(self, sock: socket.socket) -> None:
         sock.setblocking(False)
@@ -129,11 +131,12 @@
 
         task.add_done_callback(done)
 
-    def _wait_for_room(self) -> None:
-        """Who waits stays in the backlog meanwhile."""
+    def _wait_for_room(self) -> bool:
+        """Who waits stays in the backlog meanwhile; never nobody."""
         self._make_room()
         self._pause()  # until one has ended, or there may be one to close
         self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
+        return False
 
     def _make_room(self) -> None:
         """Close connections, those first that matter least.
@@ -214,6 +217,7 @@
             return
         self.ending = True
         self._ended_at = self._last_accept = clock.now()
+        self._resume()  # whoever waits for a start that is not over has no later one to wait for
         self._close_idle()
         self.loop.call_later(QUIET_S, self._maybe_stop)
 
@@ -229,13 +233,25 @@
         if now < min(quiet, over):
             self.loop.call_later((min(quiet, over) - now) / 1e9 + 0.001, self._maybe_stop)
             return
-        self._accept()
+        if not self._accept():
+            # Guards against resetting those in the backlog that one turn, or a full table, does not take in.
+            self.loop.call_later(ACCEPT_PAUSE_S, self._maybe_stop)
+            return
         self._pause()
         assert self._listener is not None
         self._listener.close()
         self._listener = None
         self._check_end()
 
+    def attached(self) -> None:
+        """A connection that was accepted can be read now."""
+        if self.ending:
+            self._check_end()
+
+    def lasts(self) -> bool:
+        """While ending: whether what a connection still holds is waited for."""
+        return clock.now() < self._ended_at + int(ACCEPT_MOST_S * 1e9)
+
     def _check_end(self) -> None:
         if self._listener is None:
             self._close_idle()
@@ -247,5 +263,8 @@
     def _give_up(self) -> None:
         """Guards against a client that never reads its answer, or never ends its request."""
         self._last_call = None
-        if not any(client.number for client in self._clients):
+        if any(client.unread() for client in self._clients):
+            # Guards against ending on a request that has come: it is read in the loop's next turns.
+            self._last_call = self.loop.call_later(ACCEPT_PAUSE_S, self._give_up)
+        elif not any(client.number for client in self._clients):
             self.finished.set()
--- a/tests/test_gateway_clients.py
+++ b/tests/test_gateway_clients.py
@@ -19,17 +19,34 @@
     BODY,
     OK,
     Client,
+    Peer,
+    Reader,
+    Writer,
     answering,
     ask,
     closed_port,
     gateway,
     raw_config,
+    read_message,
     run,
     silent,
     until,
 )
 
 
+async def holding() -> tuple[Peer, asyncio.Event]:
+    """A server that answers all it is asked, but nothing before the event."""
+    release = asyncio.Event()
+
+    async def script(peer: Peer, reader: Reader, writer: Writer) -> None:
+        while True:
+            peer.requests.append(await read_message(reader))
+            await release.wait()
+            writer.write(OK)
+
+    return await Peer(script).start(), release
+
+
 def test_it_is_ready_with_discovery_and_counter_down() -> None:
     async def scenario() -> None:
         made = gateway(counter=f"127.0.0.1:{closed_port()}")
