Notice that a client has left while it is not read

Seen by reading: a client that writes more than one request ahead is not read meanwhile (PIPELINED), and a connection that is not read tells of no end: when it had left, its attempt went on, and what had been read ahead was sent on one by one, each until its time was up. Only clients that "send much at once and go" come so far: usual ones send one at a time.

Tests make a client close, half-close or reset in each state of its request: waiting for the counter, for a connection (called off or not), between two attempts, in the turn of its assignment, with its attempt out, not read, and before the next one read ahead.

--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 import socket
 from collections import deque
 from typing import TYPE_CHECKING, cast
@@ -170,6 +171,9 @@
         while self.ready and self.number is None and self.transport is not None:
             if self.leaving or self.transport.is_closing() or self.full:
                 return
+            if self.left_unread():
+                self.transport.abort()
+                return
             message = self.ready.popleft()
             self.asked = True
             self.frontend.busy(self)
@@ -253,6 +257,17 @@
         """
         return not (self.ready or self.reading or (self.frontend.lasts() and self.unread()))
 
+    def left_unread(self) -> bool:
+        """Whether the client has gone while it is not read, as it wrote far ahead.
+
+        Guards against sending on what nobody waits for: a connection that is not read tells of no end.
+        """
+        if not self.paused or self.deaf:
+            return False
+        ends = select.poll()
+        ends.register(self.socket, select.POLLRDHUP)
+        return bool(ends.poll(0))
+
     def _release(self) -> None:
         self.frontend.store(-self.stored)
         self.stored = 0
@@ -260,6 +275,8 @@
     def check_time(self, now: int) -> None:
         """Guards against clients that connect and say nothing, stop half way, or never read or ask again."""
         transport, waited = self.transport, now - self.since
+        if transport is not None and self.left_unread():
+            transport.abort()
         if transport is None or self.number is not None:
             return
         if self.leaving or transport.is_closing() or transport.get_write_buffer_size() > 0:
--- /dev/null
+++ b/tests/test_gateway_leaving.py
@@ -0,0 +1,224 @@
+"""A client that leaves, in each state of its request: nothing is sent on for it any more."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from gingerworks.gateway import backend, frontend
+from gingerworks.gateway.__main__ import Gateway
+from gingerworks.gateway.dial import Dial
+from tests.loopback import (
+    NOT_RUN,
+    OK,
+    SETTINGS,
+    Client,
+    Peer,
+    Reader,
+    Writer,
+    answering,
+    ask,
+    gateway,
+    run,
+    silent,
+    until,
+)
+from tests.test_gateway_clients import holding
+
+
+def close(client: Client) -> None:
+    client.writer.close()
+
+
+def half_close(client: Client) -> None:
+    client.writer.write_eof()
+
+
+def reset(client: Client) -> None:
+    sock = client.writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.writer.transport.abort()
+
+
+ways = pytest.mark.parametrize("leave", [close, half_close, reset])
+Leave = Callable[[Client], None]
+
+
+async def forgotten(made: Gateway) -> None:
+    """Until the gateway has taken in that the client has gone and holds nothing of its request."""
+    await until(lambda: not made.frontend._clients)
+    await until(lambda: not made.runtime._held and not made.runtime._policy.tickets)
+
+
+@ways
+def test_while_its_request_waits_for_the_counter(leave: Leave) -> None:
+    async def scenario() -> None:
+        asked, go_on = asyncio.Event(), asyncio.Event()
+
+        async def script(peer: Peer, reader: Reader, writer: Writer) -> None:
+            line = await reader.readline()
+            asked.set()
+            await go_on.wait()
+            writer.write(b"ok %b\r\n" % line.split()[2])
+            await reader.read()
+
+        counter, server = await Peer(script).start(), await answering(OK)
+        family = SETTINGS["specifics"] | {"has-counter": True, "count-wait-ns": 20_000_000_000}
+        made = gateway(
+            server.address,
+            settings=SETTINGS | {"specifics": family},
+            counter=f"{counter.address[0]}:{counter.address[1]}",
+        )
+        client = await Client.to(made)
+        client.writer.write(ask(X_Contract="small", X_Metering="units=6,spread=3,first=1"))
+        await asked.wait()
+        leave(client)
+        await until(lambda: not made.frontend._clients)
+        go_on.set()
+        await forgotten(made)
+        assert server.connections == 0
+
+    run(scenario())
+
+
+@ways
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_while_a_connection_is_coming_up(
+    leave: Leave, may_cancel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    held: list[Callable[[], None]] = []
+
+    class Held(Dial):
+        """A connection that comes up only when the test says so."""
+
+        def _writable(self) -> None:
+            self._loop.remove_writer(self._socket.fileno())
+            held.append(super()._writable)
+
+    monkeypatch.setattr(backend, "Dial", Held)
+
+    async def scenario() -> None:
+        server = await answering(OK)
+        limits = SETTINGS["limits"] | {"may-cancel": may_cancel}
+        made = gateway(server.address, settings=SETTINGS | {"limits": limits})
+        client = await Client.to(made)
+        client.writer.write(ask("post"))
+        await until(lambda: bool(held))
+        leave(client)
+        await until(lambda: not made.frontend._clients)
+        await asyncio.sleep(0)
+        if made.backends._open:  # not called off: it comes up, and finds that nobody wants it
+            held[0]()
+        await forgotten(made)
+        assert server.requests == []
+
+    run(scenario())
+
+
+@ways
+def test_between_two_attempts(leave: Leave) -> None:
+    # The outcome and the end of the connection are read in one turn of the loop, in either order.
+    async def scenario() -> None:
+        first_asked, go_on = asyncio.Event(), asyncio.Event()
+
+        async def script(peer: Peer, reader: Reader, writer: Writer) -> None:
+            peer.requests.append(await reader.readuntil(b"\r\n\r\n"))
+            first_asked.set()
+            await go_on.wait()
+            writer.write(NOT_RUN)
+            await reader.read()
+
+        server = await Peer(script).start()
+        made = gateway(server.address, server.address)
+        client = await Client.to(made)
+        client.writer.write(ask("post"))
+        await first_asked.wait()
+        go_on.set()
+        leave(client)
+        await forgotten(made)
+        assert len(server.requests) == 1
+
+    run(scenario())
+
+
+@ways
+def test_in_the_turn_in_which_its_request_is_assigned(leave: Leave, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        server = await answering(OK)
+        made = gateway(server.address)
+        client = await Client.to(made)
+        taken: Any = made.runtime.taken
+
+        def leaves_at_once(*told: Any) -> int:
+            number: int = taken(*told)
+            made.runtime.lapsed(number)  # the module hears of both in one turn
+            return number
+
+        monkeypatch.setattr(made.runtime, "taken", leaves_at_once)
+        client.writer.write(ask("post"))
+        await until(lambda: made.runtime._serial == 1 and not made.runtime._held)
+        leave(client)
+        await forgotten(made)
+        assert server.requests == []
+
+    run(scenario())
+
+
+@ways
+def test_while_its_attempt_is_out(leave: Leave) -> None:
+    async def scenario() -> None:
+        server = await silent()
+        made = gateway(server.address)
+        client = await Client.to(made)
+        client.writer.write(ask("post"))
+        await until(lambda: len(server.requests) == 1)
+        leave(client)
+        await forgotten(made)
+        await until(lambda: server.requests[1:] == [b""])
+
+    run(scenario())
+
+
+@ways
+def test_while_it_is_not_read_for_what_it_wrote_ahead(leave: Leave, monkeypatch: pytest.MonkeyPatch) -> None:
+    # A connection that is not read tells of no end: all that had been read ahead was sent on, one by one.
+    monkeypatch.setattr(frontend, "CHECK_S", 0.01)
+
+    async def scenario() -> None:
+        server = await silent()
+        made = gateway(server.address)
+        client = await Client.to(made)
+        client.writer.write(b"".join(ask("post") for _ in range(8)))
+        await until(lambda: any(c.paused for c in made.frontend._clients) and len(server.requests) == 1)
+        leave(client)
+        await forgotten(made)
+        await until(lambda: server.requests[1:] == [b""])
+
+    run(scenario())
+
+
+@ways
+def test_before_the_next_of_what_it_wrote_ahead_is_begun(
+    leave: Leave, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(frontend, "CHECK_S", 1e6)
+
+    async def scenario() -> None:
+        server, release = await holding()
+        made = gateway(server.address)
+        client = await Client.to(made)
+        client.writer.write(b"".join(ask("post") for _ in range(8)))
+        await until(lambda: any(c.paused for c in made.frontend._clients) and len(server.requests) == 1)
+        leave(client)
+        (connection,) = made.frontend._clients
+        await until(connection.left_unread)
+        release.set()
+        await forgotten(made)
+        assert len(server.requests) == 1
+
+    run(scenario())
