--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -8,6 +8,7 @@
 import pytest
 
 from gingerworks import interface as io
+from gingerworks.gateway import clock
 from gingerworks.gateway.backend import Answer, Attempt, Backends
 from gingerworks.gateway.config import Address, config_from
 from gingerworks.gateway.discovery import Change, change_from
@@ -146,6 +147,38 @@
     run(scenario())
 
 
+def test_a_second_answer_that_comes_milliseconds_late_is_not_the_next_requests(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # After 2 ms the connection was handed over, and the copy on its way was taken for the next answer.
+    moment = clock.now()
+    monkeypatch.setattr(clock, "now", lambda: moment)
+
+    async def scenario() -> None:
+        nonlocal moment
+        handed_over = asyncio.Event()
+
+        async def script(peer: Peer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            peer.requests.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.write(OK)
+            if peer.connections == 1:
+                await handed_over.wait()
+                writer.write(SECOND)
+            await reader.read()
+
+        server = await Peer(script).start()
+        made, both = backends(server.address), Ended()
+        made.start(attempt(both))
+        await until(lambda: len(both) == 1)
+        moment += 10 * clock.NS_PER_MS
+        made.start(attempt(both))
+        handed_over.set()
+        await until(lambda: len(both) == 2)
+        assert [answer and answer.body for _, answer in both] == [BODY, BODY]
+
+    run(scenario())
+
+
 def test_what_comes_before_a_request_is_written_whole_is_not_its_answer() -> None:
     async def scenario() -> None:
         async def script(peer: Peer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
