Name a setting that is out of range as the file names it, on one short line

Seen with a small fuzz of the configuration (each setting replaced by fifteen odd values): peers-total 0 was reported as "setting gateways", hard-limit-ns 1 as "classes.aim_ns", a bad dedup-scope as "'x' is not a valid DedupGroup" with no name at all, and a value of 5,000 digits was printed whole. Negative prices, waits, windows and idle times, and two classes of one name, were taken. Nothing but a plain error came of any value.

Settings keeps the checks and carries the setting's name, wire.py translates it to the file's, and a value shows its first 40 characters.

--- a/gingerworks/gateway/config.py
+++ b/gingerworks/gateway/config.py
@@ -39,7 +39,7 @@
     """Split ``host:port``."""
     host, colon, port = str(text).rpartition(":")
     if not colon or not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise ConfigError(f"{what}: '{text}' is not host:port")
+        raise ConfigError(f"{what}: '{str(text)[: wire.SHOWN]}' is not host:port")
     return host.strip("[]"), int(port)
 
 
@@ -77,16 +77,21 @@
         connect_ns = fields.whole("limits.connect-timeout-ns", "250000000")
     except ValueError as fault:
         raise ConfigError(str(fault)) from None
+    for name, length in (("conn-idle-ns", idle_ns), ("connect-timeout-ns", connect_ns)):
+        if length <= 0:
+            raise ConfigError(f"settings: limits.{name} is out of range")
     if settings.has_counter and not raw.get("counter"):
         raise ConfigError("counter is missing")
     limits = raw.get("limits")
     sockets = limits.get("sockets", DEFAULT_SOCKETS) if isinstance(limits, dict) else DEFAULT_SOCKETS
     if not isinstance(sockets, int) or sockets < 64:
-        raise ConfigError(f"limits.sockets: '{sockets}' is not a whole number of at least 64")
+        raise ConfigError(
+            f"limits.sockets: '{str(sockets)[: wire.SHOWN]}' is not a whole number of at least 64"
+        )
     try:
         seed = int(str(raw.get("seed", "0")), 16)
     except ValueError:
-        raise ConfigError(f"seed: '{raw['seed']}' is not a hexadecimal number") from None
+        raise ConfigError(f"seed: '{str(raw['seed'])[: wire.SHOWN]}' is not a hexadecimal number") from None
     return Config(
         name=str(raw.get("name", "gateway")),
         listen=address_from(raw.get("listen", ""), "listen"),
--- a/gingerworks/interface.py
+++ b/gingerworks/interface.py
@@ -11,7 +11,11 @@
 
 
 class SettingsError(ValueError):
-    """A setting is missing or contradicts another; the text names it."""
+    """A setting is missing, out of range or contradicts another; the text names it, as does ``setting``."""
+
+    def __init__(self, text: str, setting: str = "") -> None:
+        super().__init__(text)
+        self.setting = setting
 
 
 class Effect(Enum):
@@ -155,19 +159,34 @@
             (self.tick_ns > 0, "tick_ns"),
             (bool(self.classes), "classes"),
             (bool(self.plans), "plans"),
+            (_named(self.classes), "classes.name"),
+            (_named(self.plans), "plans.name"),
             (self.max_units > 0, "max_units"),
             (self.limits.attempts >= 1, "limits.attempts"),
+            (self.limits.max_retry_after_ns >= 0, "limits.max_retry_after_ns"),
+            (self.rules.drain_grace_ns >= 0, "rules.drain_grace_ns"),
+            (self.rules.cold_ns >= 0, "rules.cold_ns"),
             (0 < self.rules.start_capacity <= 1, "rules.start_capacity"),
             (self.rules.overload_factor > 0, "rules.overload_factor"),
             (not self.has_counter or self.counter_wait_ns > 0, "counter_wait_ns"),
             (all(0 < c.aim_ns <= c.deadline_ns for c in self.classes), "classes.aim_ns"),
+            (all(c.window_ns >= 0 for c in self.classes), "classes.window_ns"),
+            (all(c.worth >= 0 for c in self.classes), "classes.worth"),
+            (all(p.price >= 0 for p in self.plans), "plans.price"),
+            (all(p.overrun_cost >= 0 for p in self.plans), "plans.overrun_cost"),
             (all(p.rate >= 0 for p in self.plans), "plans.rate"),
             (all(p.rate == 0 or p.burst > 0 for p in self.plans), "plans.burst"),
             (all(p.ceiling_rate == 0 or p.ceiling_burst > 0 for p in self.plans), "plans.ceiling_burst"),
         )
         for good, name in checks:
             if not good:
-                raise SettingsError(f"setting {name} is missing or contradicts another")
+                raise SettingsError(f"setting {name} is out of range or contradicts another", name)
+
+
+def _named(of: tuple[RequestClass, ...] | tuple[Plan, ...]) -> bool:
+    """Whether each has a name of its own."""
+    names = {one.name for one in of}
+    return len(names) == len(of) and "" not in names
 
 
 @dataclass(frozen=True, slots=True)
--- a/gingerworks/wire.py
+++ b/gingerworks/wire.py
@@ -14,6 +14,7 @@
     "idempotency_key": io.Effect.KEYED,
     "non_idempotent": io.Effect.UNSAFE,
 }
+GROUPS = {group.value: group for group in io.DedupGroup}
 STATUSES = {
     "delivered": io.Status.DELIVERED,
     "app_error": io.Status.ERROR,
@@ -29,6 +30,31 @@
 MODES = {0: io.ListMode.FAILED, 1: io.ListMode.DELTA, 2: io.ListMode.FULL, 4: io.ListMode.CACHED}
 
 
+# The settings that ``Settings`` checks, as a start message and the configuration file name them.
+FILE_NAMES = {
+    "gateways": "peers-total",
+    "tick_ns": "tick-ns",
+    "plans": "tariffs",
+    "max_units": "specifics.max-units",
+    "counter_wait_ns": "specifics.count-wait-ns",
+    "limits.attempts": "limits.attempts-cap",
+    "limits.max_retry_after_ns": "limits.max-retry-after-ns",
+    "rules.drain_grace_ns": "rules.drain-grace-ns",
+    "rules.cold_ns": "rules.cold-ns",
+    "rules.start_capacity": "rules.start-capacity",
+    "rules.overload_factor": "rules.overload-factor",
+    "classes.window_ns": "classes.window-ns",
+    "classes.aim_ns": "classes.on-time-ns and hard-limit-ns",
+    "plans.name": "tariffs.name",
+    "plans.price": "tariffs.price",
+    "plans.overrun_cost": "tariffs.overrun-cost",
+    "plans.rate": "tariffs.units-per-s",
+    "plans.burst": "tariffs.most-at-once",
+    "plans.ceiling_burst": "tariffs.ceiling-burst",
+}
+SHOWN = 40  # characters of a wrong value: enough to find it, and a message stays one plain line
+
+
 class WireError(ValueError):
     """A line breaks the wire's rules; the text says how."""
 
@@ -57,9 +83,9 @@
         try:
             value = float(text)
         except ValueError:
-            raise WireError(f"field {name}: '{text}' is not a number") from None
+            raise WireError(f"field {name}: '{_shown(text)}' is not a number") from None
         if not -1e300 < value < 1e300:
-            raise WireError(f"field {name}: '{text}' is not a finite number")
+            raise WireError(f"field {name}: '{_shown(text)}' is not a finite number")
         return value
 
     def whole(self, name: str, absent: str | None = None) -> int:
@@ -68,17 +94,17 @@
         try:
             return int(text)
         except ValueError:
-            raise WireError(f"field {name}: '{text}' is not a whole number") from None
+            raise WireError(f"field {name}: '{_shown(text)}' is not a whole number") from None
 
     def flag(self, name: str) -> bool:
         """A truth value; absent is false."""
         return self.text(name, "0") in ("1", "true")
 
-    def choice(self, name: str, table: dict[str, _T]) -> _T:
+    def choice(self, name: str, table: dict[str, _T], absent: str | None = None) -> _T:
         """A value that must be in the table."""
-        text = self.text(name)
+        text = self.text(name, absent)
         if text not in table:
-            raise WireError(f"field {name}: '{text}' is not known")
+            raise WireError(f"field {name}: '{_shown(text)}' is not known")
         return table[text]
 
     def report(self) -> tuple[tuple[str, float], ...]:
@@ -99,6 +125,14 @@
         return _settings(fields)
     except WireError as fault:
         raise io.SettingsError(f"settings: {fault}") from None
+    except io.SettingsError as fault:
+        # Whoever reads it knows the file's names only.
+        name = FILE_NAMES.get(fault.setting, fault.setting)
+        raise io.SettingsError(f"setting {name} is out of range or contradicts another", name) from None
+
+
+def _shown(text: str) -> str:
+    return text if len(text) <= SHOWN else f"{text[:SHOWN]}..."
 
 
 def _settings(f: Fields) -> io.Settings:
@@ -147,7 +181,7 @@
     return io.RequestClass(
         name=f.text(at + "name"),
         effect=f.choice(at + "effect", EFFECTS),
-        group=io.DedupGroup(f.text(at + "dedup-scope", "cell")),
+        group=f.choice(at + "dedup-scope", GROUPS, "cell"),
         window_ns=f.whole(at + "window-ns", "0"),
         aim_ns=f.whole(at + "on-time-ns"),
         deadline_ns=f.whole(at + "hard-limit-ns"),
--- a/tests/test_gateway_discovery.py
+++ b/tests/test_gateway_discovery.py
@@ -188,6 +188,36 @@
         config_from(raw_config() | BAD[what])
 
 
+def changed_settings(path: str, value: object) -> dict[str, Any]:
+    """A configuration with one setting changed; numbers in the path count in lists."""
+    raw = json.loads(json.dumps(raw_config()))
+    *ways, last = path.split(".")
+    inner: Any = raw["settings"]
+    for way in ways:
+        inner = inner[int(way) if way.isdigit() else way]
+    inner[int(last) if last.isdigit() else last] = value
+    return dict(raw)
+
+
+@pytest.mark.parametrize(("path", "value"), [
+    ("peers-total", 0), ("me", 3), ("tick-ns", -1), ("classes", []), ("tariffs", []),
+    ("classes.0.name", "post"), ("tariffs.0.name", ""), ("classes.1.dedup-scope", "everywhere"),
+    ("classes.0.effect", 7), ("classes.0.on-time-ns", 0), ("classes.0.hard-limit-ns", 1),
+    ("classes.0.worth", -1), ("classes.0.worth", None),
+    ("tariffs.1.units-per-s", -2), ("tariffs.1.most-at-once", 0), ("tariffs.1.overrun-cost", -1),
+    ("limits.attempts-cap", 0), ("limits.conn-idle-ns", 0), ("limits.connect-timeout-ns", -1),
+    ("limits.max-retry-after-ns", -1), ("rules.start-capacity", 1.5), ("rules.cold-ns", -1),
+    ("specifics.max-units", 0), ("specifics.max-units", "9" * 5000), ("tick-ns", [1, 2]),
+])  # fmt: skip
+def test_a_setting_out_of_range_is_named_as_the_file_names_it(path: str, value: object) -> None:
+    with pytest.raises((ConfigError, io.SettingsError)) as raised:
+        config_from(changed_settings(path, value))
+    text = str(raised.value)
+    assert path.rpartition(".")[2] in text
+    assert "\n" not in text
+    assert len(text) < 160
+
+
 def test_the_command_starts_and_ends_on_sigterm(tmp_path: Path) -> None:
     file = tmp_path / "config.json"
     file.write_text(json.dumps(raw_config()))
