Send a keyed request again only where it comes within its window even if it has to connect

Seen by reading: Ticket.allows held the moment of the choice against the class's window, while the attempt may reach its server as much later as a connection may take to come up (connect-timeout-ns, 250 ms). Chosen 100 ms before the window's end and come up late, it is a second effect.

The time a connection may take is a limit of the settings now (one place, which the sockets use as well), and the window has to hold until then. Ruled out: the first attempt's time, which is the earliest moment it can run.

--- a/gingerworks/gateway/__main__.py
+++ b/gingerworks/gateway/__main__.py
@@ -35,7 +35,7 @@
         self._config = config
         clients = int((config.sockets - OWN_SOCKETS) * CLIENT_SHARE)
         servers = config.sockets - OWN_SOCKETS - clients
-        self.backends = Backends(loop, config.settings, config.idle_ns, config.connect_ns, servers)
+        self.backends = Backends(loop, config.settings, config.idle_ns, servers)
         self.runtime = Runtime(loop, config, self.backends)
         self.frontend = Frontend(loop, self.runtime, config.settings, clients)
         self._watch: asyncio.Task[None] | None = None
--- a/gingerworks/gateway/backend.py
+++ b/gingerworks/gateway/backend.py
@@ -237,12 +237,11 @@
         loop: asyncio.AbstractEventLoop,
         settings: io.Settings,
         idle_ns: int,
-        connect_ns: int,
         budget: int,
     ) -> None:
         """At most ``budget`` connections are open at once."""
         self.loop = loop
-        self.connect_s = connect_ns / clock.NS_PER_S
+        self.connect_s = settings.limits.connect_ns / clock.NS_PER_S
         self._settings = settings
         self._retire_ns = int(IDLE_SHARE * idle_ns)
         self._budget = budget
--- a/gingerworks/gateway/config.py
+++ b/gingerworks/gateway/config.py
@@ -31,7 +31,6 @@
     sockets: int
     known: object
     idle_ns: int
-    connect_ns: int
     settings: io.Settings
 
 
@@ -74,12 +73,10 @@
     try:
         settings = wire.settings_from(fields)
         idle_ns = fields.whole("limits.conn-idle-ns", "15000000000")
-        connect_ns = fields.whole("limits.connect-timeout-ns", "250000000")
     except ValueError as fault:
         raise ConfigError(str(fault)) from None
-    for name, length in (("conn-idle-ns", idle_ns), ("connect-timeout-ns", connect_ns)):
-        if length <= 0:
-            raise ConfigError(f"settings: limits.{name} is out of range")
+    if idle_ns <= 0:
+        raise ConfigError("settings: limits.conn-idle-ns is out of range")
     if settings.has_counter and not raw.get("counter"):
         raise ConfigError("counter is missing")
     limits = raw.get("limits")
@@ -101,7 +98,6 @@
         sockets=sockets,
         known=raw.get("known"),
         idle_ns=idle_ns,
-        connect_ns=connect_ns,
         settings=settings,
     )
 
--- a/gingerworks/interface.py
+++ b/gingerworks/interface.py
@@ -123,6 +123,7 @@
     retry_after: bool
     max_retry_after_ns: int
     max_open: int
+    connect_ns: int = 250_000_000  # as long as a connection may take to come up
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,6 +165,7 @@
             (self.max_units > 0, "max_units"),
             (self.limits.attempts >= 1, "limits.attempts"),
             (self.limits.max_retry_after_ns >= 0, "limits.max_retry_after_ns"),
+            (self.limits.connect_ns > 0, "limits.connect_ns"),
             (self.rules.drain_grace_ns >= 0, "rules.drain_grace_ns"),
             (self.rules.cold_ns >= 0, "rules.cold_ns"),
             (0 < self.rules.start_capacity <= 1, "rules.start_capacity"),
--- a/gingerworks/policy.py
+++ b/gingerworks/policy.py
@@ -533,12 +533,12 @@
         ran = any(attempt.may_have_run for attempt in self.attempts)
         return not ran or (self.kind.effect is io.Effect.KEYED and self.kind.group is io.DedupGroup.ALL)
 
-    def allows(self, backend: Backend, now: int) -> bool:
-        """Rule 2: whether an attempt at this server cannot bring a second effect."""
+    def allows(self, backend: Backend, comes_by: int) -> bool:
+        """Rule 2: whether an attempt that comes to this server by then cannot bring a second effect."""
         first = next((attempt for attempt in self.attempts if attempt.may_have_run), None)
         if first is None or self.kind.effect is io.Effect.SAFE:
             return True
-        if self.kind.effect is io.Effect.UNSAFE or now - first.sent_at >= self.kind.window_ns:
+        if self.kind.effect is io.Effect.UNSAFE or comes_by - first.sent_at >= self.kind.window_ns:
             return False
         here, there = first.backend.entry, backend.entry
         if self.kind.group is io.DedupGroup.CELL:
@@ -704,7 +704,9 @@
         limits = self.settings.limits
         if len(ticket.attempts) >= limits.attempts or (ticket.out() and not limits.second_copies):
             return None
-        allowed = (b for b in self.servers.backends.values() if ticket.allows(b, self.now))
+        # Guards against one chosen within the window that comes after it, as its connection came up late.
+        comes_by = self.now + limits.connect_ns
+        allowed = (b for b in self.servers.backends.values() if ticket.allows(b, comes_by))
         tried = [attempt.backend.entry.name for attempt in ticket.attempts]
         return self.servers.pick(self.now, self.servers.means[ticket.kind.name], allowed, tried)
 
--- a/gingerworks/wire.py
+++ b/gingerworks/wire.py
@@ -39,6 +39,7 @@
     "counter_wait_ns": "specifics.count-wait-ns",
     "limits.attempts": "limits.attempts-cap",
     "limits.max_retry_after_ns": "limits.max-retry-after-ns",
+    "limits.connect_ns": "limits.connect-timeout-ns",
     "rules.drain_grace_ns": "rules.drain-grace-ns",
     "rules.cold_ns": "rules.cold-ns",
     "rules.start_capacity": "rules.start-capacity",
@@ -173,6 +174,7 @@
             retry_after=f.flag("limits.retry-after"),
             max_retry_after_ns=f.whole("limits.max-retry-after-ns", "0"),
             max_open=f.whole("limits.max-open", "0"),
+            connect_ns=f.whole("limits.connect-timeout-ns", "250000000"),
         ),
     )
 
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -36,7 +36,7 @@
 
 def backends(*servers: Address, idle_ns: int = 15_000_000_000, budget: int = 100) -> Backends:
     settings = config_from(raw_config()).settings
-    made = Backends(asyncio.get_running_loop(), settings, idle_ns, 10_000_000_000, budget)
+    made = Backends(asyncio.get_running_loop(), settings, idle_ns, budget)
     made.changed(told(*(entry(f"s{number}", address) for number, address in enumerate(servers))))
     return made
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import replace
 
+import pytest
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
@@ -78,6 +79,17 @@
     assert kinds(late.handle(3 * SECOND, [outcome(3, 0, io.Status.ERROR)])) == ["Lose"]
 
 
+@pytest.mark.parametrize("connect_ms", [100, 250, 2000])
+def test_a_further_attempt_can_come_within_the_window_even_where_it_has_to_connect(connect_ms: int) -> None:
+    # One chosen just within the window came after it, on a connection that took its time: a second effect.
+    base = settings().limits
+    for before_end, again in ((connect_ms + 1, "Assign"), (connect_ms, "Lose"), (1, "Lose")):
+        policy = started(server("s1"), limits=replace(base, connect_ns=connect_ms * MS))
+        policy.handle(0, [request(1, class_name="put", ttl_ns=4 * SECOND)])
+        actions = policy.handle(3 * SECOND - before_end * MS, [outcome(1, 0, io.Status.ERROR)])
+        assert kinds(actions) == [again]
+
+
 def test_nothing_new_goes_to_a_draining_or_missing_server() -> None:
     policy = started()
     policy.handle(1, [listing(server("s1", phase=io.Phase.DRAINING), mode=io.ListMode.DELTA)])
