Test moments found sound: reloads beside the end and an opening watch, taken-over addresses

Each bad order is forced: SIGHUP before, during and after the graceful end; SIGHUP while discovery has taken a call and not answered it; a server's id at a new address and its address under a new id, with a connection idle; a connection that comes up after its attempt was given up. None of them needed a change.

--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -8,9 +8,11 @@
 import pytest
 
 from gingerworks import interface as io
+from gingerworks.gateway import backend as backend_module
 from gingerworks.gateway import clock
 from gingerworks.gateway.backend import Answer, Attempt, Backends
 from gingerworks.gateway.config import Address, config_from
+from gingerworks.gateway.dial import Dial
 from gingerworks.gateway.discovery import Change, change_from
 from tests.loopback import (
     BODY,
@@ -438,3 +440,63 @@
             assert (await client.send(ask("post", body=b"x")))[0] == 200
 
     run(scenario())
+
+
+@pytest.mark.parametrize("change", ["a new address", "a new id"])
+def test_an_idle_connection_is_not_used_for_whoever_takes_over_its_address_or_id(change: str) -> None:
+    async def scenario() -> None:
+        old, new = await answering(OK), await answering(OK)
+        made = backends(old.address)
+        assert await ending(made) is io.Status.DELIVERED
+        assert len(made._open) == 1
+        if change == "a new address":
+            made.changed(told(entry("s0", new.address), snapshot=False))
+            assert await ending(made) is io.Status.DELIVERED
+            assert (len(old.requests), len(new.requests)) == (1, 1)
+        else:
+            made.changed(told(entry("s9", old.address)))
+            assert not made._open  # what led to the former process leads nowhere now
+            ended = Ended()
+            fresh = attempt(ended)
+            fresh.server = "s9"
+            made.start(fresh)
+            await until(lambda: bool(ended))
+            assert ended[0][0] is io.Status.DELIVERED
+            assert old.connections == 2
+
+    run(scenario())
+
+
+def test_a_connection_that_comes_up_after_its_attempt_was_given_up_is_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    held: list[Dial] = []
+
+    class Held(Dial):
+        """A connection that is up, of which nobody has been told yet."""
+
+        def _writable(self) -> None:
+            self._loop.remove_writer(self._socket.fileno())
+            held.append(self)
+
+    monkeypatch.setattr(backend_module, "Dial", Held)
+
+    async def scenario() -> None:
+        ends = asyncio.Event()
+
+        async def script(peer: Peer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            peer.requests.append(await reader.read())
+            ends.set()
+
+        server = await Peer(script).start()
+        made, ended = backends(server.address), Ended()
+        given_up = attempt(ended)
+        made.start(given_up)
+        await until(lambda: bool(held))
+        made.revoke(given_up)
+        await ends.wait()
+        assert [status for status, _ in ended] == [io.Status.REVOKED]
+        assert server.requests == [b""]
+        assert not made._open
+
+    run(scenario())
--- a/tests/test_gateway_reload.py
+++ b/tests/test_gateway_reload.py
@@ -107,6 +107,58 @@
     run(scenario())
 
 
+def test_a_reload_while_a_watch_is_opening_follows_the_new_discovery(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async def script(peer: Peer, reader: Reader, writer: Writer) -> None:
+            peer.requests.append(await reader.readuntil(b"\r\n\r\n"))
+            await reader.read()  # never answers: the watch is not open yet
+            peer.requests.append(b"")
+
+        server, old = await answering(OK), await Peer(script).start()
+        made = gateway(discovery=at(old))
+        await until(lambda: len(old.requests) == 1)
+        new = await discovery(entry("b", server.address), index=2)
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps(raw_config(discovery=at(new))))
+        made.reload({"NODE_CONFIG": str(file)})
+        await until(lambda: [s.name for s in made.backends.listed()] == ["b"])
+        await until(lambda: old.requests[1:] == [b""])
+        assert (await (await Client.to(made)).send(ask()))[0] == 200
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("when", ["before", "during", "after"])
+def test_a_reload_beside_the_end_neither_stops_it_nor_undoes_it(when: str, tmp_path: Path) -> None:
+    async def scenario() -> None:
+        server = await answering(OK)
+        old = await discovery(entry("a", server.address), index=2)
+        new = await discovery(entry("a", server.address), index=2)
+        made = gateway(discovery=at(old))
+        address = made.frontend.address
+        client = await Client.to(made)
+        assert (await client.send(ask()))[0] == 200
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps(raw_config(discovery=at(new))))
+        if when == "before":
+            made.reload({"NODE_CONFIG": str(file)})
+        held = await Client.to(made)
+        held.writer.write(ask()[:-2])
+        await until(lambda: any(c.reading for c in made.frontend._clients))
+        made.frontend.end()
+        if when == "during":
+            made.reload({"NODE_CONFIG": str(file)})
+        assert (await held.send(b"\r\n"))[0] == 200
+        await made.ended()
+        if when == "after":
+            made.reload({"NODE_CONFIG": str(file)})
+        assert await client.reader.read() == b""
+        with pytest.raises(ConnectionError):
+            await asyncio.open_connection(*address)
+
+    run(scenario())
+
+
 def test_calls_out_at_a_counter_that_is_left_have_its_answers() -> None:
     async def scenario() -> None:
         answer = asyncio.Event()
