Let one gateway put a wrong count right, and set more of a quota apart where few share it

Policy.counted had whoever saw a wrong count repair it and take that back on seeing another's repair; between the two, others saw the sum of all repairs, "far beyond an empty store", and repaired that downwards, all of them again.

A repair is now one gateway's: who sees a wrong count adds one to a name of its own that the counter forgets after four waits for a call, and only who is told a total of 1 repairs. No repair is taken back any more. Ruled out: repairing by chance (a count stays wrong until the draw, and the multiplicity is not known) and repairing only after a second look (all look again at the same time).

All of the quota is set apart now if the rest leaves parts of one and a half of the largest requests; a tenth of the burst is for unused refill.

--- a/gingerworks/policy.py
+++ b/gingerworks/policy.py
@@ -24,12 +24,13 @@
 IN_TIME_ASKING = 0.5  # of doubtful requests: the counter keeps up with calls while so many may ask
 CUSTOMERS_MOST = 20_000  # far more than ask within a few sweeps
 SWEEP_NS = 5 * SECOND  # between looks for idle customers and changes worth a line for the staff
+CLAIM_WAITS = 4  # for a call: the claim's, one that is out, the repair's, and one to spare
 QUANTUM = 0.25  # of an even share of the burst: use that is told at once, as others may be spending it too
 TRUST_PERIODS = 3.0  # readings older than this many periods count for less and less
 SLACK_USED = 0.5  # of the ceiling's slack; the rest is for what was not thought of
-SET_APART = (
-    0.5  # of the quota, out of the ceiling: readings pass so much beside the parts; more leaves these dry
-)
+PART_ROOM = 1.5  # of the largest request: what a part of a ceiling holds before readings pass any beside it
+LEAST_APART = 0.5  # of the quota, out of a ceiling that leaves as much: readings pass so much at the least
+UNUSED_APART = 0.1  # of the burst, out of a ceiling: unused refill that is let stand in the shared count
 RETRY_SHARE = 0.1  # further attempts to first ones, in the long run: a retry storm stays small
 RETRY_BURST = 10.0  # further attempts that may be saved up, so that one failure among few is answered
 PATIENCE_MEANS = 3.0  # mean answer times after which an answer is overdue
@@ -96,26 +97,27 @@
         first = self.share if settings.has_counter else max(self.share, settings.max_units)
         self.gap = GapCounter(cap, first, quotas.rng.random())
         self.ceiling: GapCounter | None = None
-        # Rule 5: readings pass requests beside the parts only within what is set apart of the quota, so the
-        # parts share what the ceiling leaves; where that is nothing, readings pass nothing beside them.
-        store, rate = plan.ceiling_burst - SET_APART * plan.burst, plan.ceiling_rate - SET_APART * plan.rate
-        self.apart = (
-            SET_APART * plan.burst if settings.has_counter and plan.rate > 0 < min(store, rate) else 0.0
-        )
-        if self.apart <= 0:
-            store, rate = plan.ceiling_burst, plan.ceiling_rate
+        # Rule 5: readings pass requests beside the parts only while the store lacks no more than is set apart
+        # of the quota: all of it, if the rest leaves room in the parts.  Unused refill comes on top of that.
+        store, rate, self.credit, self.apart = plan.ceiling_burst, plan.ceiling_rate, CREDIT * cap, 0.0
+        room = store - UNUSED_APART * plan.burst - PART_ROOM * settings.max_units * entries
+        part = min(1.0, max(LEAST_APART, room / max(plan.burst, SLIVER)))
+        rest = store - (part + UNUSED_APART) * plan.burst, rate - part * plan.rate
+        if settings.has_counter and plan.rate > 0 < min(rest):
+            (store, rate), self.apart = rest, part * plan.burst
+            self.credit = UNUSED_APART * plan.burst + (1 - SLACK_USED) * plan.ceiling_slack
+        self.claim_ns = CLAIM_WAITS * settings.counter_wait_ns
         self.beside = False
         self.ceiling_even = rate / entries
-        self.credit = CREDIT * cap
         if plan.ceiling_rate > 0:
             # After a restart nobody knows what this gateway let through before, so it starts empty.
             self.ceiling = GapCounter((store + SLACK_USED * plan.ceiling_slack) / entries, 0.0, 0.0)
             self.ceiling.refill(self.ceiling_even * (now - quotas.start) / SECOND)
-            self.credit = min(self.credit, (1 - SLACK_USED) * plan.ceiling_slack)
         self.even = plan.rate / entries
         self.others = plan.rate - self.even
         self.used = -math.inf  # not known
-        self.pending = self.repair = 0.0
+        self.pending = self.repair = self.elected = 0.0
+        self.claimed_at = -math.inf
         self.last = self.read_at = self.seen_at = now
         self.scheduled = self.dry = False
         self.heard = True
@@ -166,19 +168,17 @@
     def reading(self, call: Call, level: float, asking: float, now: int) -> list[tuple[Ticket, bool]]:
         """Learn from the shared count what the store lacks; says which of the requests held it covers."""
         told = max(0.0, call.told)  # below 0 it takes back what this gateway had put in for nothing
-        before = level - (call.amount - call.told + told) - self.plan.rate * (now - call.began) / SECOND
+        since = self.plan.rate * (now - call.began) / SECOND
+        before = level - (call.amount - call.told - call.repair + told) - since
         untold, least, wrong = max(0.0, self.pending), self.least_used(now), 0.0
         # A full store takes no refill, lost counts seem unused, use beyond an empty store takes nothing: all
-        # are put right by the first who sees it; who finds that done takes its own repair back.
-        credit = self.credit / (asking if self.ceiling is None else 1.0)
+        # are put right by one of those who see it.
+        credit = self.credit / (1.0 if self.apart > 0 else asking)
         if before < least - credit:
             wrong = least - before
         elif before * asking**2 > (1 + CREDIT) * self.gap.cap:
             wrong = self.gap.cap - before
-        if not call.repair and call.told >= 0:
-            self.repair = wrong
-        elif call.repair * wrong <= 0:
-            self.pending -= call.repair
+        self.repair = wrong
         used = max(least, before + wrong) + told
         seconds = max(SLIVER, (now - self.read_at) / SECOND)
         elsewhere = min(self.plan.rate, max(0.0, self.plan.rate + (used - told - self.used) / seconds))
@@ -193,9 +193,12 @@
             else:
                 self.pending -= amount
             verdicts.append((ticket, covered))
+        # Or while the store lacks no more than shortly before: then no more passes than it refills.
+        lately = self.used if now - self.read_at <= REPORT_PERIOD_NS else 0.0
         self.used, self.read_at = used, now
-        # A count knows nothing of the one before it, whose store may not have refilled yet.
-        self.beside = used <= self.apart
+        # While it is wrong one reading counts, the first: until it has been put right it tells of no store.
+        at_rest = used <= max(self.apart, lately) and self.apart > 0
+        self.beside = at_rest and (not wrong or now - self.claimed_at >= self.claim_ns)
         return verdicts
 
     def idle(self, now: int) -> bool:
@@ -211,7 +214,7 @@
     def __init__(self, customer: Customer, began: int) -> None:
         self.customer = customer
         self.began = began
-        self.told, self.repair = customer.pending, customer.repair
+        self.told, self.repair = customer.pending, customer.elected
         self.held: list[tuple[Ticket, float]] = []
         self.amount = self.told + self.repair
 
@@ -226,6 +229,7 @@
         self.plans = {plan.name: plan for plan in settings.plans}
         self.customers: dict[tuple[str, str], Customer] = {}
         self.calls: dict[int, Call] = {}
+        self.claims: dict[int, tuple[Customer, float]] = {}
         self.asking = self.keeps_up = 1.0
 
     def customer(self, request: io.Request, now: int) -> Customer:
@@ -274,7 +278,7 @@
         # used so long ago that the store has refilled since is no news.
         if (now - customer.seen_at) * customer.plan.rate > customer.gap.cap * SECOND:
             customer.pending = min(0.0, customer.pending)
-        if customer.call is not None or not (customer.waiting or customer.pending or customer.repair):
+        if customer.call is not None or not (customer.waiting or customer.pending or customer.elected):
             return []
         name, began = customer.count_name(now)
         call = customer.call = self.calls[name] = Call(customer, began)
@@ -283,9 +287,33 @@
         weight = 1.0 if customer.dry or customer.ceiling is not None else 1.0 / self.asking
         call.held = [(ticket, ticket.request.units * weight) for ticket in customer.waiting]
         call.amount += sum(amount for _, amount in call.held)
-        customer.pending, customer.repair, customer.waiting = 0.0, 0.0, []
+        customer.pending, customer.elected, customer.waiting = 0.0, 0.0, []
         return [io.Count(name, call.amount, COUNT_KEEP_NS)]
 
+    def claim(self, customer: Customer, now: int) -> list[io.Action]:
+        """Stand for putting right what the last reading found wrong: the first to add to this name does.
+
+        Guards against all who see it at once doing so: their repairs, and what each takes back on seeing the
+        others', chase each other.  The name is forgotten once all that was read before the repair has ended.
+        """
+        if not customer.repair or now - customer.claimed_at < customer.claim_ns:
+            return []
+        customer.claimed_at = now
+        digest = hashlib.blake2b(f"{customer.key} repair".encode(), digest_size=8).digest()
+        name = int.from_bytes(digest, "big") >> 1
+        self.claims[name] = customer, customer.repair
+        return [io.Count(name, 1.0, customer.claim_ns)]
+
+    def claimed(self, answer: io.Counted, now: int) -> list[io.Action]:
+        """Who was the first puts it right."""
+        customer, amount = self.claims.pop(answer.count)
+        heard = answer.status is io.Status.DELIVERED
+        self.steer(not heard or 2 * answer.elapsed_ns > self.settings.counter_wait_ns)
+        if heard and answer.level < 1.0 + 0.5:
+            customer.elected = amount
+            return self.call(customer, now)
+        return []
+
     def counted(self, answer: io.Counted, now: int) -> tuple[Customer, list[tuple[Ticket, bool]]] | None:
         """Take in an answer: whose it is, and for each request held for it whether it is let in."""
         call = self.calls.pop(answer.count, None)
@@ -677,6 +705,9 @@
 
     def counted(self, answer: io.Counted) -> None:
         """Decide the requests that were held for this reading."""
+        if answer.count in self.quotas.claims:
+            self.actions += self.quotas.claimed(answer, self.now)
+            return
         told = self.quotas.counted(answer, self.now)
         if told is None:
             return
@@ -688,7 +719,9 @@
                 self.decline(ticket, customer.advice(ticket.request.units))
         # Taken back at once only while the counter keeps up: a quarter of its calls told of refusals.
         owed = customer.pending < 0 and self.quotas.asking >= IN_TIME_ASKING
-        if customer.waiting or (customer.heard and (owed or customer.repair)):
+        if customer.heard:
+            self.actions += self.quotas.claim(customer, self.now)
+        if customer.waiting or customer.elected or (customer.heard and owed):
             self.actions += self.quotas.call(customer, self.now)
         elif customer.pending > 0 or (customer.heard and customer.pending < 0):
             self.report(customer)
