Leave out a list's entry whose weight no float holds

Seen by feeding change_from entries with odd values: a weight of 400 digits raised OverflowError, which is no ValueError: a known list with one ended the start with a trace, and a watch failed on it, asked for the whole list and failed again. Such an entry is left out as any other, and the line that says so is bounded.

--- a/gingerworks/gateway/discovery.py
+++ b/gingerworks/gateway/discovery.py
@@ -71,8 +71,8 @@
     for entry in raw["endpoints"]:
         try:
             endpoints.append(_endpoint(entry))
-        except (ValueError, TypeError, KeyError, AttributeError) as fault:
-            log.warning("discovery: entry left out: %s", fault)
+        except (ValueError, TypeError, KeyError, AttributeError, OverflowError) as fault:
+            log.warning("discovery: entry left out: %.120s", fault)
     return Change(index, raw.get("snapshot") is True, tuple(endpoints))
 
 
--- a/tests/test_gateway_discovery.py
+++ b/tests/test_gateway_discovery.py
@@ -139,6 +139,7 @@
         7,
         {},
         good | {"name": ""},
+        good | {"weight": 10**400},  # no float holds it: the watch failed on it again and again
         good | {"status": "Odd"},
         good | {"address": "nowhere"},
         good | {"since_ms": "x"},
