Test that a counter that is back empty grants no more than the ceiling

Found sound: a flood of thirteen gateways, all of which are heard, keeps the ceiling with the former code as well, whenever the counter loses its totals; the gateways that know better put the count right.

--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -352,10 +352,11 @@
 TIGHT = io.Plan("tight", 8.0, 15.0, 0, 1.0, 0.0, 1.0, 13.0, 26.0, 2.6)
 
 
-def lowest_under_a_ceiling(start: int, hears: Callable[[int, int], bool]) -> float:
+def lowest_under_a_ceiling(start: int, hears: Callable[[int, int], bool], lost_at: int = -1) -> float:
     """The least that a ceiling's store held while thirteen gateways were asked for all it has, and more.
 
-    ``hears`` tells whether a gateway's call at this time (ns since the flood began) is answered.
+    ``hears`` tells whether a gateway's call at this time (ns since the flood began) is answered; with the
+    request ``lost_at`` the counter is back empty.
     """
     made = settings(plans=(TIGHT,), gateways=13)
     gateways = [Policy(n, replace(made, me=n), 0) for n in range(13)]
@@ -367,6 +368,8 @@
         # One each long before, so that all know the customer; then a flood of which one gateway sees half.
         now = start + (number * MS if number >= 13 else -20 * SECOND)
         store, at = min(TIGHT.ceiling_burst, store + TIGHT.ceiling_rate * (now - at) / SECOND), now
+        if number == lost_at:
+            totals.clear()
         chosen = number if number < 13 else draw.choice((0, draw.randrange(13)))
         ask = request(number, plan="tight", customer="c", entries=13)
         todo = gateways[chosen].handle(now, [ask])
@@ -457,6 +460,11 @@
     assert lowest_under_a_ceiling(start, lambda gateway, at: True) >= -TIGHT.ceiling_slack
 
 
+@pytest.mark.parametrize("lost_at", [13, 33, 100, 500])
+def test_a_counter_that_is_back_empty_grants_no_more_than_the_ceiling(lost_at: int) -> None:
+    assert lowest_under_a_ceiling(30 * SECOND, lambda gateway, at: True, lost_at) >= -TIGHT.ceiling_slack
+
+
 def quotas_of(plan: io.Plan) -> Quotas:
     return Policy(7, settings(plans=(plan,), gateways=13), 0).quotas
 
