--- a/gingerworks/gateway/discovery.py
+++ b/gingerworks/gateway/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import ipaddress
 import json
 import logging
@@ -19,16 +20,21 @@
 from gingerworks.gateway import clock
 from gingerworks.gateway.config import Address, address_from
 
-SILENCE_S = 5.0  # an empty line comes every 2 s: two have failed to come by then
-CONNECT_S = 1.0
-CALL_S = 0.1  # of discovery's time, for one call: what all gateways ask of it stays under one in this
-FIRST_PAUSE_S = 0.2  # at the least, however few the gateways
+# Seconds.  From any change on, all that may come before the list is heard has to fit in TOLD_S, at any number
+# of gateways: either the former watch's silence, a pause, a connection and a first line, or a refusal's pause
+# instead of the first two (STANDING.md: a change counts as told then, whatever call has failed before).
+TOLD_S = 6.0
+SILENCE_S = 2.9  # on an open watch: an empty line comes every 2 s, one has failed to come by then
+ANSWER_S = 2.4  # for a call's first line: a crowded discovery turns a call away after some 2 s
+STALL_S = 0.5  # ... or since its last bytes, where that line has begun: the agent writes it in one go
+LOOK_S = 0.02  # a last look after a wait is over: a busy loop sees its timers before what has come
+CONNECT_S = 0.5  # for a connection: the agent is on this machine
 REOPEN_PAUSE_S = (
     0.05  # where nobody was crowded: what the agent has counts as told, a drain's grace is 0.25 s
 )
-REFUSED_PAUSE_S = 4.0  # at the most, the first time: by then, at a reload, what it has to tell counts as told
-LONGEST_PAUSE_S = 3.0
-LONGEST_PAUSES = 4.0  # ... or so many of the first, where that is longer
+REFUSED_PAUSE_S = 3.0  # at the most, after a refusal: what TOLD_S leaves beside a connection and a first line
+CALL_S = 0.1  # of discovery's time, for one call: at first all gateways together ask once in this
+FIRST_PAUSE_S = 0.4  # at the least, however few the gateways
 LINE_BYTES = 1 << 20  # thousands of servers in one line; more is no list
 SERVERS_MOST = 4096
 INDEX_MOST = 1 << 53  # what JSON holds exactly
@@ -153,22 +159,20 @@
         self._index = index
         self._told = told
         self._rng = random.Random(seed)
-        # Guards against a fleet that was refused together: discovery has one capacity for all, a call that
-        # waits in vain costs it as much as one answered, and such calls again keep it jammed.
-        self._spread_s = CALL_S * gateways
+        self._first_pause_s = max(FIRST_PAUSE_S, min(CALL_S * gateways, 0.5 * REFUSED_PAUSE_S))
         self._buffer = b""
         self._objects = Objects()
         self._state = State.DIALLING
-        self._ended = False
+        self._ended = self._answered = False
         self.settled = asyncio.Event()  # the first answer has been taken in, or the first call has failed
 
     async def run(self) -> None:
-        """Keep a watch open, from the first moment on; where it is turned away pauses grow up to a bound.
+        """Keep a watch open, from the first moment on.
 
-        Guards against a list that is not heard while it changes: a gateway that has not asked counts as told.
+        Guards against a list that is not heard while it changes: what discovery has counts as told in time,
+        whatever became of the calls before.
         """
-        first = max(FIRST_PAUSE_S, min(self._spread_s, REFUSED_PAUSE_S))
-        wait, longest = 0.5 * first, max(LONGEST_PAUSE_S, LONGEST_PAUSES * first, self._spread_s)
+        most = self._first_pause_s
         while True:
             why, self._state = "it ended", State.DIALLING
             try:
@@ -180,26 +184,29 @@
                 log.exception("discovery: the watch failed")
                 why, self._index = "a fault", 0
             self.settled.set()
+            log.info("discovery: watch to be reopened: %s", why)
             if self._state is State.ASKED:
-                delay = wait = min(longest, 2 * wait)
+                # Full jitter.  Guards against a fleet that was turned away together coming back together:
+                # discovery has one capacity for all, and a call that waits in vain costs it as much as one
+                # that is answered.
+                delay, most = most * self._rng.random(), min(REFUSED_PAUSE_S, 2 * most)
             else:
-                delay, wait = REOPEN_PAUSE_S, 0.5 * first
-            log.info("discovery: watch to be reopened: %s", why)
-            # Jitter: gateways that lost one discovery together must not come back to it together.
-            await pause(delay * (0.5 + self._rng.random()))
+                delay, most = REOPEN_PAUSE_S * (0.5 + self._rng.random()), self._first_pause_s
+            await pause(delay)
 
     async def _follow(self) -> None:
-        host, port = self._address
+        (host, port), time = self._address, asyncio.get_running_loop().time
         async with asyncio.timeout(CONNECT_S):
             reader, writer = await asyncio.open_connection(host, port)
         try:
             self._state = State.ASKED
             target = f"/catalog/members?follow=1&since={self._index}"
             writer.write(f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
-            self._buffer, self._objects, self._ended = b"", Objects(), False
+            self._buffer, self._objects, self._ended, self._answered = b"", Objects(), False, False
             parser = httptools.HttpResponseParser(self)
+            asked_at = time()
             while not self._ended:
-                data = await self._read(reader)
+                data = await self._read(reader, self._patience_s(time() - asked_at))
                 if not data:
                     return
                 parser.feed_data(data)
@@ -212,14 +219,21 @@
         finally:
             writer.close()
 
-    async def _read(self, reader: asyncio.StreamReader) -> bytes:
+    def _patience_s(self, waited_s: float) -> float:
+        """Seconds to wait for further bytes, so many after the call was made."""
+        if self._answered:
+            return SILENCE_S
+        begun = STALL_S if self._state is State.FOLLOWING else 0.0
+        return max(begun, ANSWER_S - waited_s)
+
+    async def _read(self, reader: asyncio.StreamReader, patience_s: float) -> bytes:
         """Guards against a discovery that falls silent with the connection open."""
-        try:
-            async with asyncio.timeout(SILENCE_S):
-                return await reader.read(65536)
-        except TimeoutError:
-            self._state = State.SILENT
-            raise TimeoutError("it fell silent") from None
+        for seconds in (patience_s, LOOK_S):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(seconds):
+                    return await reader.read(65536)
+        self._state = State.SILENT
+        raise TimeoutError("it fell silent")
 
     def on_body(self, body: bytes) -> None:
         """Parser's callback: a part of the stream."""
@@ -253,4 +267,5 @@
             self._told(change)
         elif self._objects.broken_off():
             raise ValueError("it broke off")
+        self._answered = True
         self.settled.set()
