Make room on a full table without waiting for clients whose connections cannot end yet

Cause: a client that was accepted but not attached yet (an accept of many outlasts the 50 ms of grace on a small part of a core), and a resting one whose answer waits to be read, were counted as sent away though neither ended: the first was not closed at all, the second only after its client read. Nobody else is sent away while one is counted so, and who asks waits unread in the backlog, for up to 2 s. Change: only attached connections are sent away, resting ones only where no answer waits; candidates are looked at until eight are found instead of all.

--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -289,6 +289,17 @@
         elif waited >= (IDLE_NS if self.asked else REQUEST_NS) and not self.unread():
             transport.close()
 
+    def unsent(self) -> bool:
+        """Whether a part of an answer waits for the client to read."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
+    def rests(self) -> bool:
+        """Whether it is between requests.
+
+        Guards against closing on an answer that is still to be read, which the close would wait for.
+        """
+        return not self.reading and not self.unsent()
+
     def unread(self) -> bool:
         """Whether something has come that was not read yet."""
         try:
--- a/gingerworks/gateway/frontend.py
+++ b/gingerworks/gateway/frontend.py
@@ -5,7 +5,8 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
+from itertools import islice
 from typing import Any
 
 from gingerworks import interface as io
@@ -148,21 +149,28 @@
         if self._evicted:
             return  # there will be room as soon as these have ended
         before = clock.now() - GRACE_NS
-        for table in (self._leaving, self._new):
-            old = [client for client in table if client.since <= before and not client.unread()]
-            for client in old[:EVICT_AT_ONCE]:
-                del table[client]
-                self._evicted.add(client)
-                if client.transport is not None:
-                    client.transport.abort()
-            if old or (table is self._new and 2 * len(table) > self._budget):
-                return
-        idle = [client for client in self._idle if not client.reading and not client.unread()]
-        for client in idle[:EVICT_AT_ONCE]:
-            del self._idle[client]
+        if self._evict(client for client in self._leaving if client.since <= before):
+            return
+        if self._evict(client for client in self._new if client.since <= before):
+            return
+        if 2 * len(self._new) <= self._budget:
+            self._evict(client for client in self._idle if client.rests())
+
+    def _evict(self, candidates: Iterable[ClientConnection]) -> bool:
+        """Close some of these; whether there was one.
+
+        Guards against closing on what has come but was not read yet, and against counting on the end of one
+        that cannot end yet, as it was accepted but is not attached: nobody else would go meanwhile.
+        """
+        attached = (client for client in candidates if client.transport is not None and not client.unread())
+        chosen = list(islice(attached, EVICT_AT_ONCE))
+        for client in chosen:
+            for table in (self._new, self._idle, self._leaving):
+                table.pop(client, None)
             self._evicted.add(client)
-            if client.transport is not None:
-                client.transport.close()
+            assert client.transport is not None
+            client.transport.abort()
+        return bool(chosen)
 
     def _check_times(self) -> None:
         self._check, now = None, clock.now()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -3,8 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import os
+import re
 import socket
+import subprocess
+import sys
 from collections.abc import Awaitable, Callable, Coroutine
+from pathlib import Path
 from typing import Any, TypeAlias, TypeVar
 
 import uvloop
@@ -195,7 +201,11 @@
 
     @classmethod
     async def to(cls, gateway: Gateway) -> Client:
-        return cls(*await asyncio.open_connection(*gateway.frontend.address))
+        return await cls.at(gateway.frontend.address)
+
+    @classmethod
+    async def at(cls, address: Address) -> Client:
+        return cls(*await asyncio.open_connection(*address))
 
     async def send(self, request: bytes) -> tuple[int, bytes, bytes]:
         """Status, head and body of the answer."""
@@ -207,6 +217,54 @@
         return int(head.split()[1]), head, body
 
 
+class Process:
+    """A gateway in a process of its own, as the deploy file runs it; killed at the end of the block."""
+
+    def __init__(self, folder: Path, config: dict[str, Any], **environment: str) -> None:
+        file, self._log = folder / f"{config['name']}.json", folder / f"{config['name']}.log"
+        file.write_text(json.dumps(config))
+        with self._log.open("wb") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "gingerworks.gateway"],
+                env={**os.environ, "NODE_CONFIG": str(file), **environment},
+                cwd=Path(__file__).parent.parent,
+                stderr=log,
+            )
+        self.pid = self._process.pid
+        self.address: Address = ("", 0)
+
+    def __enter__(self) -> Process:
+        return self
+
+    def __exit__(self, *fault: object) -> None:
+        self.kill()
+
+    def kill(self) -> None:
+        """End it, as a machine that dies does."""
+        self._process.kill()
+        self._process.wait()
+
+    def log(self) -> str:
+        """All that it has said."""
+        return self._log.read_text()
+
+    async def listening(self) -> None:
+        """Wait until it listens, and learn where."""
+        while not (where := re.search(r"listening on ([\d.]+):(\d+)", self.log())):
+            assert self._process.poll() is None, self.log()
+            await asyncio.sleep(0.005)
+        self.address = where[1], int(where[2])
+
+    def descriptors(self) -> int:
+        """How many it holds open."""
+        return len(os.listdir(f"/proc/{self.pid}/fd"))
+
+    def processor_s(self) -> float:
+        """The processor time that it has used."""
+        fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 async def until(holds: Callable[[], bool]) -> None:
     """Let the loop turn until something holds; the test's time bounds it."""
     while not holds():
