--- /dev/null
+++ b/tests/test_gateway_start.py
@@ -0,0 +1,159 @@
+"""The start: ready soon on a small part of a core, whatever discovery does, also where many start at once."""
+
+from __future__ import annotations
+
+import asyncio
+import importlib.util
+import os
+import socket
+import subprocess
+import sys
+import tomllib
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+
+import pytest
+
+from gingerworks.gateway import __main__ as command
+from gingerworks.gateway import discovery
+from gingerworks.gateway.config import Address
+from tests.loopback import Client, Peer, Process, Reader, Writer, closed_port, gateway, raw_config, run
+
+ROOT = Path(__file__).parent.parent
+HEALTH = b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
+READY_S = 10.0  # for a restarted gateway to answer ...
+CORE = 1 / 20  # ... on so much of a core
+PROCESSOR_S = (READY_S - command.FIRST_LIST_S) * CORE  # what is left beside the one wait of a start
+
+
+def place(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
+
+
+async def nobody() -> str:
+    """A discovery that is gone: its machine refuses."""
+    return f"127.0.0.1:{closed_port()}"
+
+
+async def refusing() -> str:
+    """A discovery that turns every call away."""
+
+    async def script(peer: Peer, reader: Reader, writer: Writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+
+    return place((await Peer(script).start()).address)
+
+
+async def silent() -> str:
+    """A discovery that takes every call and never answers."""
+
+    async def script(peer: Peer, reader: Reader, writer: Writer) -> None:
+        await reader.read()
+
+    return place((await Peer(script).start()).address)
+
+
+@contextmanager
+def unreachable() -> Iterator[str]:
+    """A discovery no connection to which comes up: the backlog of its listener is full."""
+    with ExitStack() as stack:
+        listener = stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=0))
+        for _ in range(4):  # the kernel takes in one or two more than the backlog says
+            sock = stack.enter_context(socket.socket())
+            sock.setblocking(False)
+            sock.connect_ex(listener.getsockname())
+        yield place(listener.getsockname())
+
+
+async def address_of(how: str, stack: ExitStack) -> str:
+    if how == "unreachable":
+        return stack.enter_context(unreachable())
+    return await {"nobody": nobody, "refusing": refusing, "silent": silent}[how]()
+
+
+async def is_healthy(client: Client) -> bool:
+    return (await client.send(HEALTH))[0] == 200
+
+
+WAYS = ["nobody", "refusing", "silent", "unreachable"]
+
+
+@pytest.mark.parametrize("how", WAYS)
+def test_a_start_waits_for_nothing_but_discoverys_first_answer(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Of all times only the one for the first answer can ring within the test, where that answer never comes.
+    answers = how in ("nobody", "refusing")
+    monkeypatch.setattr(command, "FIRST_LIST_S", 1e6 if answers else 0.02)
+    monkeypatch.setattr(discovery, "CONNECT_S", 1e6)
+    monkeypatch.setattr(discovery, "SILENCE_S", 1e6)
+    monkeypatch.setattr(discovery, "pause", lambda seconds: asyncio.sleep(1e6))
+
+    async def scenario() -> None:
+        with ExitStack() as stack:
+            made = gateway(discovery=await address_of(how, stack), counter=f"127.0.0.1:{closed_port()}")
+            assert await is_healthy(await Client.to(made))
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("how", ["nobody", "refusing", "unreachable"])  # silent: with many at once, below
+def test_a_start_takes_so_little_processor_time_that_a_twentieth_of_a_core_is_enough(
+    how: str, tmp_path: Path
+) -> None:
+    async def scenario() -> None:
+        with ExitStack() as stack:
+            config = raw_config(discovery=await address_of(how, stack))
+            process = stack.enter_context(Process(tmp_path, config))
+            await process.listening()
+            assert await is_healthy(await Client.at(process.address))
+            assert process.processor_s() < PROCESSOR_S
+
+    run(scenario())
+
+
+def test_all_that_are_killed_start_again_at_once_at_their_addresses(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        with ExitStack() as stack:
+            configs = [raw_config(name=f"n{number}") for number in range(4)]
+            former = [stack.enter_context(Process(tmp_path, config)) for config in configs]
+            clients = []
+            for process in former:
+                await process.listening()
+                clients.append(client := await Client.at(process.address))
+                assert await is_healthy(client)
+            for process in former:
+                process.kill()  # with connections open: these addresses rest in the kernel
+            places = [place(process.address) for process in former]
+            away = await silent()
+            again = [
+                stack.enter_context(Process(tmp_path, config | {"discovery": away}, NODE_LISTEN=listen))
+                for config, listen in zip(configs, places, strict=True)
+            ]
+            for process, listen in zip(again, places, strict=True):
+                await process.listening()
+                assert place(process.address) == listen
+            waiting = [await Client.at(process.address) for process in again]
+            assert all(await asyncio.gather(*map(is_healthy, waiting)))
+            assert max(process.processor_s() for process in again) < PROCESSOR_S
+            assert len(clients) == len(former)
+
+    run(scenario())
+
+
+def test_the_build_leaves_compiled_what_every_start_would_compile_again(tmp_path: Path) -> None:
+    # The file system is read-only where gateways run, so no start can leave that to the next one.
+    sources = [path.relative_to(ROOT) for path in (ROOT / "gingerworks").rglob("*.py")]
+    for source in sources:
+        (tmp_path / source).parent.mkdir(parents=True, exist_ok=True)
+        (tmp_path / source).write_bytes((ROOT / source).read_bytes())
+    binaries = tmp_path / ".venv" / "bin"
+    binaries.mkdir(parents=True)
+    (binaries / "python").symlink_to(sys.executable)
+    (tmp_path / ".venv" / "installed").touch()
+    build = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["build"]
+    subprocess.run(["/bin/sh", "-c", build], cwd=tmp_path, check=True, env=os.environ)
+    for source in sources:
+        assert Path(importlib.util.cache_from_source(str(tmp_path / source))).exists()
