--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -91,6 +91,7 @@
     monkeypatch.setattr(command, "FIRST_LIST_S", 1e6 if answers else 0.02)
     monkeypatch.setattr(discovery, "CONNECT_S", 1e6)
     monkeypatch.setattr(discovery, "SILENCE_S", 1e6)
+    monkeypatch.setattr(discovery, "ANSWER_S", 1e6)
     monkeypatch.setattr(discovery, "pause", lambda seconds: asyncio.sleep(1e6))
 
     async def scenario() -> None:
