Hold cold servers to what warm ones were seen to answer, times the overload factor

Cause: a cold server's share of the requests is its warmth's part of all warmth. Where the whole fleet is cold there is nobody else, so all the load fell on servers with a fifth of their capacity, and the rate of the last two seconds counted further attempts too. Ruled out, as these kept the budget by far: the random start of the counters, restarts, late lists, uneven shares, repeated attempts held to a cell.

Change: each gateway remembers for a minute how many answers it had for each second of a warm server. Over all gateways that is no more than warm servers take, so what one adds to a cold server's counter is held to the overload factor times that. A gateway with fewer than twenty answers adds as before. The counters are now filled from all servers in the list, not only from those that a further attempt may go to, where one cell's warmth was taken for all.

--- a/gingerworks/policy.py
+++ b/gingerworks/policy.py
@@ -37,6 +37,7 @@
 PATIENCE_AIM = 0.35  # ... but never under this part of the aim
 MEAN_GAIN = 0.005  # of mean answer times: two hundred answers, as a chance dip would set the floor low
 SEEN_ENOUGH = 20  # answers: a mean of fewer is no floor, it may be far too short
+TAKEN_NS = 60 * SECOND  # memory of what a warm server takes: it hardly changes, and some gateways see little
 SPEED_MEMORY = 20.0  # mean answer times over which a server's speed is remembered
 PRESSURE_NS = 3 * SECOND  # memory of the pressure: several answers at a gateway of a few requests a second
 PRIOR_ANSWERS = 40.0  # unpressed ones taken for granted: as many vary by a tenth if work varies by its mean
@@ -382,6 +383,7 @@
         self.bases = dict(self.means)
         self.seen = {c.name: 0 for c in settings.classes}
         self.rate, self.rate_at = 0.0, now
+        self.taken = self.stood = 0.0  # answers, and the seconds of a warm server in which they came
 
     def changed(self, event: io.ServersChanged, now: int) -> None:
         """Apply a list, or changes to it."""
@@ -407,20 +409,29 @@
         age = max(0, now - backend.entry.started_ns) / rules.cold_ns
         return rules.start_capacity + (1 - rules.start_capacity) * age
 
-    def pick(self, now: int, mean: float, allowed: Iterable[Backend], tried: Sequence[str]) -> Backend | None:
-        """The server with the shortest expected wait."""
-        ready = [b for b in allowed if b.entry.phase is io.Phase.READY]
+    def slow_start(self, now: int) -> None:
+        """Rule 4: a cold server gets from each gateway its warmth's share of what a warm one gets."""
+        ready = [(b, self.warmth(b, now)) for b in self.backends.values() if b.entry.phase is io.Phase.READY]
+        total = sum(warmth for _, warmth in ready)
+        gone, self.rate_at = now - self.rate_at, now
         # The rate of about the last two seconds.
-        self.rate, self.rate_at = self.rate * math.exp((self.rate_at - now) / (2 * SECOND)) + 0.5, now
-        warmths = [self.warmth(b, now) for b in ready]
-        each = self.rate / max(1.0, sum(warmths))
-        fit = []
-        for b, warmth in zip(ready, warmths, strict=True):
-            # Rule 4: a cold server gets from each gateway its warmth's share of what a warm one gets.
+        self.rate = self.rate * math.exp(-gone / (2 * SECOND)) + 0.5
+        fade = math.exp(-gone / TAKEN_NS)
+        self.taken, self.stood = self.taken * fade, self.stood * fade + total * gone / SECOND
+        each = self.rate / max(1.0, total)
+        # Guards against a fleet that is cold as a whole getting all load and further attempts: what gateways
+        # see answered is, in sum, within what warm servers take.  Too few answers tell nothing.
+        if self.taken >= SEEN_ENOUGH:
+            each = min(each, self.settings.rules.overload_factor * self.taken / max(SLIVER, self.stood))
+        for b, warmth in ready:
             b.cold.refill(each * warmth * (now - b.cold_at) / SECOND)
             b.cold_at = now
-            if warmth >= 1.0 or b.cold.covers(1.0):
-                fit.append(b)
+
+    def pick(self, now: int, mean: float, allowed: Iterable[Backend], tried: Sequence[str]) -> Backend | None:
+        """The server with the shortest expected wait."""
+        self.slow_start(now)
+        ready = (b for b in allowed if b.entry.phase is io.Phase.READY)
+        fit = [b for b in ready if self.warmth(b, now) >= 1.0 or b.cold.covers(1.0)]
         # Nobody listens there: left out as long as anything else is left, however many they are.
         live = [b for b in fit if b.absent_until <= now] or fit
         fresh = [b for b in live if b.entry.name not in tried] or live
@@ -458,6 +469,7 @@
         """Learn from an outcome."""
         backend.out = max(0, backend.out - 1)
         if outcome.status is io.Status.DELIVERED:
+            self.taken += 1.0
             backend.waiting_since = now
             told = 1 - math.exp(-(now - backend.told_at) / (SPEED_MEMORY * self.means[kind.name]))
             backend.told_at = backend.met_at = now
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -266,6 +266,8 @@
     "half of them new, told soon": Day(12, 6, 0.6, burst=1.5, late=(0.2, 1.0)),
     "half of them new, connections reset": Day(12, 6, 0.5, burst=1.5, resets=0.1),
     "most of them new, all busy": Day(10, 8, 0.66, burst=1.5),
+    "all of them new": Day(12, 12, 0.66, burst=1.5),
+    "all of them new, overload, told soon": Day(12, 12, 0.8, burst=2.0, late=(0.2, 1.0)),
     "a third back cold": Day(9, 3, 0.6, in_place=True, burst=1.5),
     "one of few new, all busy, told soon": Day(4, 1, 0.66, burst=1.5, late=(0.2, 1.0)),
 }
