Ask the client's socket whether it has gone before an attempt begins

Cause: whether an attempt was still wanted knew only of closes that had been read from the client's connection. A close lay unread behind the request itself (accepted late: data is read a turn before the end), in the turn in which a dialled connection came up, and for as long as a client was not read for what it wrote ahead: looked at every 0.2 s, and never while what it wrote ahead was bad.

Change: the request asks its client, which polls its socket, when an attempt starts and when the connection dialled for it has come up. A client that has gone lapses in the ordinary way before the attempt's end is told as unused. The periodic look takes in each client whose request is held, also one that is deaf to what follows.

--- a/gingerworks/gateway/backend.py
+++ b/gingerworks/gateway/backend.py
@@ -102,6 +102,9 @@
             return self.backends.end(self, io.Status.DIAL_FAILED)
         self.socket = sock
         self.backends.loop.add_reader(sock.fileno(), self.readable)
+        assert self.attempt is not None
+        if not self.attempt.wanted():
+            return self.backends.end(self, io.Status.UNUSED)
         # Guards against new work for a server that drained, went or restarted while this was connecting.
         if not self.backends.takes_work(self.endpoint):
             return self.backends.end(self, io.Status.DIAL_FAILED)
@@ -111,8 +114,6 @@
         """Send the attempt's request."""
         attempt = self.attempt
         assert attempt is not None
-        if not attempt.wanted():
-            return self.backends.end(self, io.Status.UNUSED)
         self.parser = httptools.HttpResponseParser(self)
         self.answer, self.received, self.interim = Answer(), 0, 0
         self.begun = self.complete = False
@@ -280,6 +281,8 @@
 
     def start(self, attempt: Attempt) -> None:
         """Begin an attempt, on the most recently used idle connection or on a new one."""
+        if not attempt.wanted():
+            return attempt.ended(attempt, io.Status.UNUSED, None)
         endpoint = self._endpoints.get(attempt.server)
         if endpoint is None or endpoint.server.phase is not io.Phase.READY:
             return attempt.ended(attempt, io.Status.DIAL_FAILED, None)
--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -258,12 +258,17 @@
         return not (self.ready or self.reading or (self.frontend.lasts() and self.unread()))
 
     def left_unread(self) -> bool:
-        """Whether the client has gone while it is not read, as it wrote far ahead.
+        """Whether the client has gone while a request of its waits that is held, or that it wrote ahead.
 
         Guards against sending on what nobody waits for: a connection that is not read tells of no end.
         """
-        if not self.paused or self.deaf:
-            return False
+        ahead = self.paused and bool(self.ready) and isinstance(self.ready[0], Message)
+        return (self.number is not None or ahead) and self.gone()
+
+    def gone(self) -> bool:
+        """Whether the client has closed its connection, or its side of it, be it read or not."""
+        if self.transport is None or self.transport.is_closing():
+            return True
         ends = select.poll()
         ends.register(self.socket, select.POLLRDHUP)
         return bool(ends.poll(0))
--- a/gingerworks/gateway/runtime.py
+++ b/gingerworks/gateway/runtime.py
@@ -35,6 +35,9 @@
     def failed(self) -> None:
         """Say that it failed, with no promise."""
 
+    def gone(self) -> bool:
+        """Whether it has left, also where that was not read yet."""
+
 
 class Held:
     """A request that was taken: whom it is for, what to send on, and its attempts."""
@@ -55,10 +58,6 @@
         left = max(left_ns, clock.NS_PER_MS) / clock.NS_PER_S
         return b"%bX-Time-Left: %.3f\r\n\r\n%b" % (self.head, left, self.body)
 
-    def wanted(self) -> bool:
-        """Whether an attempt may still be written."""
-        return self.open
-
 
 class Runtime:
     """The only caller of the module."""
@@ -207,18 +206,28 @@
         if held is None:
             return None  # lost to a fault: the module was told that its client has gone
         number = len(held.attempts)
-        if not held.open:
-            held.attempts.append(None)
-            return self._post(io.Outcome(action.id, number, io.Status.UNUSED, 0, True))
+
+        def wanted() -> bool:
+            return self._wanted(action.id, held)
 
         def ended(attempt: Attempt, status: io.Status, answer: Answer | None) -> None:
             self._ended(action.id, held, number, attempt, status, answer)
 
-        attempt = Attempt(action.server, action.timeout_ns / clock.NS_PER_S, held.render, held.wanted, ended)
+        attempt = Attempt(action.server, action.timeout_ns / clock.NS_PER_S, held.render, wanted, ended)
         held.attempts.append(attempt)
         held.out += 1
         return self._backends.start(attempt)
 
+    def _wanted(self, number: int, held: Held) -> bool:
+        """Whether an attempt may still begin.
+
+        Guards against sending on what nobody waits for: a close may lie unread behind a turn's other work,
+        behind what the client wrote ahead, or behind the request itself where that was accepted late.
+        """
+        if held.open and held.client.gone():
+            self.lapsed(number)
+        return held.open
+
     def _ended(
         self,
         request: int,
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -222,3 +222,91 @@
         assert len(server.requests) == 1
 
     run(scenario())
+
+
+@ways
+def test_behind_its_request_in_the_backlog(leave: Leave) -> None:
+    # The request and the end behind it are there at the first read: the end is read a turn later.
+    async def scenario() -> None:
+        server = await answering(OK)
+        made = gateway(server.address)
+        made.frontend._pause()
+        client = await Client.to(made)
+        client.writer.write(ask("post"))
+        leave(client)
+        await asyncio.sleep(0.01)
+        made.frontend._resume()
+        await until(lambda: made.runtime._serial == 1 or leave is reset)
+        await forgotten(made)
+        assert server.connections == 0
+        assert not made.backends._open
+
+    run(scenario())
+
+
+@ways
+def test_in_the_turn_in_which_its_connection_comes_up(leave: Leave, monkeypatch: pytest.MonkeyPatch) -> None:
+    held: list[Callable[[], None]] = []
+
+    class Held(Dial):
+        """A connection that comes up only when the test says so."""
+
+        def _writable(self) -> None:
+            self._loop.remove_writer(self._socket.fileno())
+            held.append(super()._writable)
+
+    monkeypatch.setattr(backend, "Dial", Held)
+
+    async def scenario() -> None:
+        server = await answering(OK)
+        made = gateway(server.address)
+        sock = socket.create_connection(made.frontend.address)
+        client = Client(*await asyncio.open_connection(sock=sock))
+        client.writer.write(ask("post"))
+        await until(lambda: bool(held))
+        (connection,) = made.frontend._clients
+        assert connection.transport is not None
+        connection.transport.pause_reading()  # the end stays unread, as behind a turn's other work
+        leave(client)
+        await asyncio.sleep(0.01)
+        held[0]()
+        connection.transport.resume_reading()
+        await forgotten(made)
+        assert server.requests == []
+        assert not made.backends._open
+
+    run(scenario())
+
+
+@ways
+@pytest.mark.parametrize("ahead", [b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n" * 8, b"\x00\r\n\r\n"])
+def test_before_a_further_attempt_while_it_is_not_read(
+    leave: Leave, ahead: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # What it wrote ahead, good or bad, ends the reading; the attempt's outcome comes before any look.
+    async def scenario() -> None:
+        release = asyncio.Event()
+
+        async def script(peer: Peer, reader: Reader, writer: Writer) -> None:
+            peer.requests.append(await reader.readuntil(b"\r\n\r\n"))
+            await release.wait()
+            writer.write(NOT_RUN)
+            await reader.read()
+
+        monkeypatch.setattr(frontend, "CHECK_S", 0.1)
+        server = await Peer(script).start()
+        made = gateway(server.address, server.address)
+        checked: Any = made.frontend._check_times
+        monkeypatch.setattr(made.frontend, "_check_times", lambda: None)
+        client = await Client.to(made)
+        client.writer.write(ask("post") + ahead)
+        await until(lambda: any(c.paused for c in made.frontend._clients) and len(server.requests) == 1)
+        leave(client)
+        await asyncio.sleep(0.01)
+        release.set()
+        await until(lambda: not made.runtime._held and not made.runtime._policy.tickets)
+        assert len(server.requests) == 1
+        checked()
+        await forgotten(made)
+
+    run(scenario())
