Force closes that lie unread while one reading of the count admits several requests

Cause: no test held the closes of several clients unread behind the turn that carries out one reading's verdicts, nor while the gateway ends.

Change: eight requests of one customer wait for the counter, their clients leave unread, and the counter answers; during the graceful end as well.

--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -12,6 +12,7 @@
 
 from gingerworks.gateway import backend, frontend
 from gingerworks.gateway.__main__ import Gateway
+from gingerworks.gateway.client import ClientConnection
 from gingerworks.gateway.dial import Dial
 from tests.loopback import (
     NOT_RUN,
@@ -310,3 +311,65 @@
         await forgotten(made)
 
     run(scenario())
+
+
+async def held_back() -> tuple[Peer, asyncio.Event, asyncio.Event]:
+    """A counter that nobody else uses, whether it was asked, and when it may answer."""
+    asked, go_on = asyncio.Event(), asyncio.Event()
+
+    async def script(peer: Peer, reader: Reader, writer: Writer) -> None:
+        while line := await reader.readline():
+            asked.set()
+            await go_on.wait()
+            writer.write(b"ok %b\r\n" % line.split()[2])
+
+    return await Peer(script).start(), asked, go_on
+
+
+def stop_reading(made: Gateway) -> list[ClientConnection]:
+    """What the clients do next stays unread, as behind a turn's other work."""
+    for connection in (connections := list(made.frontend._clients)):
+        assert connection.transport is not None
+        connection.transport.pause_reading()
+    return connections
+
+
+def go_on_reading(connections: list[ClientConnection]) -> None:
+    for connection in connections:
+        if connection.transport is not None:
+            connection.transport.resume_reading()
+
+
+@ways
+@pytest.mark.parametrize("ending", [False, True])
+def test_behind_the_turn_that_reads_the_counter(leave: Leave, ending: bool) -> None:
+    # One reading admits several requests; the ends of all their connections lie unread meanwhile.
+    async def scenario() -> None:
+        (counter, asked, go_on), server = await held_back(), await answering(OK)
+        family = SETTINGS["specifics"] | {"has-counter": True, "count-wait-ns": 20_000_000_000}
+        tariffs = [SETTINGS["tariffs"][0], SETTINGS["tariffs"][1] | {"most-at-once": 60.0}]
+        made = gateway(
+            server.address,
+            settings=SETTINGS | {"peers-total": 30, "specifics": family, "tariffs": tariffs},
+            counter=f"{counter.address[0]}:{counter.address[1]}",
+        )
+        clients = [await Client.to(made) for _ in range(8)]
+        for client in clients:
+            client.writer.write(ask(X_Contract="small", X_Metering="units=6,spread=30,first=1"))
+        await asked.wait()
+        await until(lambda: len(made.runtime._held) == len(clients))
+        if ending:
+            made.frontend.end()
+        connections = stop_reading(made)
+        for client in clients:
+            leave(client)
+        go_on.set()
+        await until(lambda: not made.runtime._held and not made.runtime._policy.tickets)
+        go_on_reading(connections)
+        await forgotten(made)
+        assert server.connections == 0
+        assert not made.backends._open
+        if ending:
+            await made.ended()
+
+    run(scenario())
