Force a client's close in the turn of an assignment and of an answer

Two more orders of the term on clients that leave, on plain blocking sockets, so that the close is in the gateway's socket when the attempt would begin and the loop has no turn in between: as the assignment is carried out, and as an answer is read behind which the request would be tried again.

--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from gingerworks import interface as io
 from gingerworks.gateway import backend, frontend
 from gingerworks.gateway.__main__ import Gateway
 from gingerworks.gateway.client import ClientConnection
@@ -373,3 +374,67 @@
             await made.ended()
 
     run(scenario())
+
+
+class Raw:
+    """A client on a plain blocking socket: what it does has been done when the call returns."""
+
+    def __init__(self, made: Gateway, request: bytes) -> None:
+        self.socket = socket.create_connection(made.frontend.address)
+        self.socket.sendall(request)
+
+    def close(self) -> None:
+        self.socket.close()
+
+    def half_close(self) -> None:
+        self.socket.shutdown(socket.SHUT_WR)
+
+    def reset(self) -> None:
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.socket.close()
+
+
+at_once = pytest.mark.parametrize("leave", [Raw.close, Raw.half_close, Raw.reset])
+
+
+@at_once
+def test_as_its_request_is_assigned_behind_a_turns_other_work(leave: Callable[[Raw], None]) -> None:
+    async def scenario() -> None:
+        server = await answering(OK)
+        made = gateway(server.address)
+        client = Raw(made, ask("post"))
+        assign = made.runtime._perform[io.Assign]
+
+        def leaves_before(action: io.Assign) -> None:
+            leave(client)  # the loop has no turn between this and the attempt
+            assign(action)
+
+        made.runtime._perform[io.Assign] = leaves_before
+        await until(lambda: made.runtime._serial == 1)
+        await forgotten(made)
+        assert server.connections == 0
+
+    run(scenario())
+
+
+@at_once
+def test_as_the_answer_is_read_behind_which_it_would_be_tried_again(
+    leave: Callable[[Raw], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        server = await answering(NOT_RUN)
+        made = gateway(server.address, server.address)
+        clients = [Raw(made, ask("post"))]
+        ended: Any = made.runtime._ended
+
+        def leaves_before(*told: Any) -> None:
+            if clients:
+                leave(clients.pop())
+            ended(*told)
+
+        monkeypatch.setattr(made.runtime, "_ended", leaves_before)
+        await until(lambda: made.runtime._serial == 1)
+        await forgotten(made)
+        assert len(server.requests) == 1
+
+    run(scenario())
