--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
 
 import pytest
 
@@ -547,3 +548,34 @@
         assert not made._open
 
     run(scenario())
+
+
+def test_a_connection_that_a_busy_loop_sees_too_late_carries_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    # A keyed request is tried again only where it comes within its window even if it has to connect: one
+    # whose connection was seen up later than a dial may take was sent all the same.
+    held: list[Callable[[], None]] = []
+
+    class Held(Dial):
+        """A connection that is up; the loop is busy and runs neither this nor the timer meanwhile."""
+
+        def _writable(self) -> None:
+            self._stop()
+            held.append(super()._writable)
+
+    monkeypatch.setattr(backend_module, "Dial", Held)
+
+    async def scenario() -> None:
+        server = await silent()
+        made, ended = backends(server.address), Ended()
+        made.connect_s = 0.25
+        started = clock.now()
+        made.start(attempt(ended))
+        await until(lambda: bool(held))
+        monkeypatch.setattr(clock, "now", lambda: started + 1_000_000_000)
+        held.pop()()
+        assert [status for status, _ in ended] == [io.Status.DIAL_FAILED]
+        await until(lambda: server.requests == [] or bool(server.requests[0]))
+        assert server.requests == []
+        assert not made._open
+
+    run(scenario())
