Name cancelled requests and attempts, failures and hedging by their usual words

Nothing but names: Lapsed is RequestCancelled, Revoke is CancelAttempt, Lose is Fail, REVOKED is CANCELLED, may_revoke is may_cancel, second_copies is hedging.

--- a/gingerworks/gateway/backend.py
+++ b/gingerworks/gateway/backend.py
@@ -318,7 +318,7 @@
     def revoke(self, attempt: Attempt) -> None:
         """Give up an attempt by closing its connection."""
         if attempt.connection is not None:
-            self.end(attempt.connection, io.Status.REVOKED)
+            self.end(attempt.connection, io.Status.CANCELLED)
 
     def abandon(self, attempt: Attempt) -> None:
         """Give up an attempt whose end nobody wants to hear of."""
--- a/gingerworks/gateway/runtime.py
+++ b/gingerworks/gateway/runtime.py
@@ -77,9 +77,9 @@
         self._done: list[int] = []
         self._perform: dict[type, Callable[..., None]] = {
             io.Assign: self._assign,
-            io.Revoke: self._revoke,
+            io.CancelAttempt: self._cancel_attempt,
             io.Decline: self._decline,
-            io.Lose: self._lose,
+            io.Fail: self._failed,
             io.Wake: self._wake,
             io.Count: self._count,
             io.Watch: lambda action: None,  # the list is always watched
@@ -133,7 +133,7 @@
         if held is not None and held.open:
             held.open = False
             self._done.append(number)
-            self._post(io.Lapsed(number))
+            self._post(io.RequestCancelled(number))
 
     def listed(self, change: Change, cached: bool = False) -> None:
         """Discovery, or what was known at the start, tells of servers."""
@@ -193,12 +193,12 @@
         if held.open:
             held.open = False
             held.client.failed()
-            self._post(io.Lapsed(number))
+            self._post(io.RequestCancelled(number))
         # Guards against an attempt that never began being taken for one that is out, here and in the module.
         for attempt_number, attempt in enumerate(held.attempts):
             if attempt is not None:
                 self._backends.abandon(attempt)
-                self._ended(number, held, attempt_number, attempt, io.Status.REVOKED, None)
+                self._ended(number, held, attempt_number, attempt, io.Status.CANCELLED, None)
         self._done.append(number)
 
     def _assign(self, action: io.Assign) -> None:
@@ -257,7 +257,7 @@
         )
         self._done.append(request)
 
-    def _revoke(self, action: io.Revoke) -> None:
+    def _cancel_attempt(self, action: io.CancelAttempt) -> None:
         held = self._held.get(action.id)
         attempt = held.attempts[action.attempt] if held and action.attempt < len(held.attempts) else None
         if attempt is not None:
@@ -270,7 +270,7 @@
             held.client.refused(action.retry_after_ns, bool(held.attempts))
             self._given_up(action.id, held)
 
-    def _lose(self, action: io.Lose) -> None:
+    def _failed(self, action: io.Fail) -> None:
         held = self._held.get(action.id)
         if held is not None and held.open:
             held.open = False
--- a/gingerworks/interface.py
+++ b/gingerworks/interface.py
@@ -43,7 +43,7 @@
     EXPIRED = "no answer in time; it may have run"
     DIAL_FAILED = "no connection; it never ran"
     DROPPED = "the connection broke; it may have run"
-    REVOKED = "called off; it may have run"
+    CANCELLED = "called off; it may have run"
     UNUSED = "never sent"
 
     @property
@@ -117,8 +117,8 @@
     """What the deployment allows."""
 
     attempts: int
-    second_copies: bool
-    may_revoke: bool
+    hedging: bool  # a request may have two attempts out
+    may_cancel: bool
     probes: bool
     retry_after: bool
     max_retry_after_ns: int
@@ -251,7 +251,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Lapsed:
+class RequestCancelled:
     """The client has left; nothing more is owed.  Unknown ids: ignored."""
 
     id: int
@@ -284,7 +284,7 @@
     elapsed_ns: int
 
 
-Event = ServersChanged | Request | Started | Outcome | Lapsed | Timer | Probed | Counted
+Event = ServersChanged | Request | Started | Outcome | RequestCancelled | Timer | Probed | Counted
 
 
 @dataclass(frozen=True, slots=True)
@@ -297,7 +297,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Revoke:
+class CancelAttempt:
     """Stop waiting for an attempt; its outcome still comes."""
 
     id: int
@@ -313,7 +313,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Lose:
+class Fail:
     """Final answer: failed, with no promise."""
 
     id: int
@@ -355,4 +355,4 @@
     text: str
 
 
-Action = Assign | Revoke | Decline | Lose | Wake | Probe | Count | Watch | Log
+Action = Assign | CancelAttempt | Decline | Fail | Wake | Probe | Count | Watch | Log
--- a/gingerworks/policy.py
+++ b/gingerworks/policy.py
@@ -487,7 +487,7 @@
             absence = min(ABSENCE_MOST_NS, ABSENCE_NS << backend.absences)
             backend.absences += 1
             backend.absent_until = now + int(absence * (0.75 + 0.5 * self.rng.random()))
-        elif outcome.status not in (io.Status.REVOKED, io.Status.UNUSED):
+        elif outcome.status not in (io.Status.CANCELLED, io.Status.UNUSED):
             # One symptom lowers the server's share for a while, longer each time: time-outs, fast errors
             # (which would else look like a quick server) and refusals alike.
             backend.fails += 1
@@ -634,7 +634,7 @@
                 if event.mode is io.ListMode.FAILED and self.settings.discovery_on_request:
                     again = self.now + int(SECOND * (1 + self.rng.random()))
                     self.plan_next(again, lambda: self.actions.append(io.Watch()))
-            case io.Lapsed():
+            case io.RequestCancelled():
                 self.close(self.tickets.get(event.id))
             case io.Started():
                 if ticket := self.tickets.get(event.id):
@@ -747,7 +747,7 @@
     def choose(self, ticket: Ticket) -> Backend | None:
         """A server for the next attempt, if the rules leave one."""
         limits = self.settings.limits
-        if len(ticket.attempts) >= limits.attempts or (ticket.out() and not limits.second_copies):
+        if len(ticket.attempts) >= limits.attempts or (ticket.out() and not limits.hedging):
             return None
         # Guards against one chosen within the window that comes after it, as its connection came up late.
         comes_by = self.now + limits.connect_ns
@@ -768,7 +768,7 @@
             self.plan_next(self.now + patience, lambda: self.overdue(ticket))
 
     def overdue(self, ticket: Ticket) -> None:
-        """An answer is late: send a second copy, or call the attempt off and try elsewhere, within budget."""
+        """An answer is late: hedge, or cancel the attempt and try elsewhere, within the retry budget."""
         if ticket.closed or ticket.streaming:
             return
         for attempt in ticket.attempts:
@@ -781,14 +781,14 @@
         # If the server has answered others since, it is the request that is long, and would be again.
         if last.backend.waiting_since > last.sent_at or not self.budget.covers(1.0):
             return
-        if limits.second_copies:
+        if limits.hedging:
             backend = self.choose(ticket)
             if backend is not None and backend is not last.backend:
                 self.budget.shift(-1.0)
                 self.send(ticket, backend)
-        elif limits.may_revoke and len(ticket.attempts) < limits.attempts:
+        elif limits.may_cancel and len(ticket.attempts) < limits.attempts:
             self.budget.shift(-1.0)
-            self.actions.append(io.Revoke(ticket.request.id, len(ticket.attempts) - 1))
+            self.actions.append(io.CancelAttempt(ticket.request.id, len(ticket.attempts) - 1))
 
     def outcome(self, outcome: io.Outcome) -> None:
         """Learn from an attempt's end; answer the request or try again."""
@@ -819,8 +819,8 @@
 
     def again(self, ticket: Ticket, outcome: io.Outcome) -> None:
         """Nothing is out any more: try once more or give the final answer."""
-        # A revoked one was paid for; one that found nobody there has cost no server anything.
-        free = outcome.status in (io.Status.REVOKED, io.Status.DIAL_FAILED)
+        # A cancelled one was paid for; one that found nobody there has cost no server anything.
+        free = outcome.status in (io.Status.CANCELLED, io.Status.DIAL_FAILED)
         cost = 0.0 if free else 1.0
         left = ticket.deadline - self.now > 2 * self.settings.tick_ns
         backend = self.choose(ticket) if left and self.budget.covers(cost) else None
@@ -836,7 +836,7 @@
         if ticket.may_decline():
             self.decline(ticket, 0)
         else:
-            self.actions.append(io.Lose(ticket.request.id))
+            self.actions.append(io.Fail(ticket.request.id))
             self.close(ticket)
 
     def decline(self, ticket: Ticket, after: int) -> None:
@@ -849,10 +849,10 @@
         """The request has ended; call off what is still out and forget it once all is in."""
         if ticket is None:
             return
-        if not ticket.closed and self.settings.limits.may_revoke:
+        if not ticket.closed and self.settings.limits.may_cancel:
             for number, attempt in enumerate(ticket.attempts):
                 if attempt.out:
-                    self.actions.append(io.Revoke(ticket.request.id, number))
+                    self.actions.append(io.CancelAttempt(ticket.request.id, number))
         ticket.closed = True
         if not ticket.out():
             self.tickets.pop(ticket.request.id, None)
--- a/gingerworks/wire.py
+++ b/gingerworks/wire.py
@@ -22,7 +22,7 @@
     "expired": io.Status.EXPIRED,
     "dial_failed": io.Status.DIAL_FAILED,
     "dropped": io.Status.DROPPED,
-    "revoked": io.Status.REVOKED,
+    "revoked": io.Status.CANCELLED,
     "unused": io.Status.UNUSED,
 }
 PHASES = {0: io.Phase.GONE, 1: io.Phase.READY, 2: io.Phase.DRAINING}
@@ -168,8 +168,8 @@
         ),
         limits=io.Limits(
             attempts=f.whole("limits.attempts-cap"),
-            second_copies=f.flag("limits.second-copies"),
-            may_revoke=f.flag("limits.may-cancel"),
+            hedging=f.flag("limits.second-copies"),
+            may_cancel=f.flag("limits.may-cancel"),
             probes=f.flag("limits.probes"),
             retry_after=f.flag("limits.retry-after"),
             max_retry_after_ns=f.whole("limits.max-retry-after-ns", "0"),
@@ -257,7 +257,7 @@
             report=f.report(),
         )
     if word == "LAPSED":
-        return io.Lapsed(f.whole("op-id"))
+        return io.RequestCancelled(f.whole("op-id"))
     if word == "REMINDER":
         return io.Timer(f.whole("name", "0"))
     if word == "STARTED":
@@ -293,9 +293,9 @@
 
 FORMATS: dict[type, Callable[[Any], str]] = {
     io.Assign: lambda a: f"ASSIGN op-id={a.id} server={a.server} try-for-ns={a.timeout_ns}",
-    io.Revoke: lambda a: f"REVOKE op-id={a.id} go={a.attempt}",
+    io.CancelAttempt: lambda a: f"REVOKE op-id={a.id} go={a.attempt}",
     io.Decline: lambda a: f"DECLINE op-id={a.id} retry-after-ns={a.retry_after_ns}",
-    io.Lose: lambda a: f"LOSE op-id={a.id}",
+    io.Fail: lambda a: f"LOSE op-id={a.id}",
     io.Wake: lambda a: f"SLEEP sleep-for-ns={a.after_ns} name={a.token}",
     io.Probe: lambda a: f"TOUCH server={a.server}",
     io.Count: _count_line,
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -27,8 +27,8 @@
             events.append(outcome(action.id, 0, status, status is io.Status.DELIVERED))
         elif isinstance(action, io.Count):
             events.append(io.Counted(action.count, io.Status.EXPIRED, 0.0, 80 * MS))
-        elif isinstance(action, io.Revoke):
-            events.append(outcome(action.id, action.attempt, io.Status.REVOKED))
+        elif isinstance(action, io.CancelAttempt):
+            events.append(outcome(action.id, action.attempt, io.Status.CANCELLED))
     return events
 
 
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -131,8 +131,8 @@
             match action:
                 case io.Assign():
                     self.send(now, action)
-                case io.Revoke():
-                    self.end(now, action.id, action.attempt, io.Status.REVOKED)
+                case io.CancelAttempt():
+                    self.end(now, action.id, action.attempt, io.Status.CANCELLED)
                 case io.Wake():
                     self.later(now + action.after_ns, io.Timer(action.token))
 
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -51,7 +51,7 @@
     strange: list[io.Event] = [
         outcome(7, 0, io.Status.ERROR),
         outcome(1, 3, io.Status.ERROR),
-        io.Lapsed(8),
+        io.RequestCancelled(8),
         io.Probed("x", io.Status.ERROR, 1),
     ]
     assert kinds(policy.handle(1, strange)) == []
@@ -63,8 +63,8 @@
 def test_a_client_that_leaves_ends_its_request() -> None:
     policy = started()
     policy.handle(0, [request(1, class_name="post")])
-    assert kinds(policy.handle(1, [io.Lapsed(1)])) == ["Revoke"]
-    assert kinds(policy.handle(2, [outcome(1, 0, io.Status.REVOKED, True)])) == []
+    assert kinds(policy.handle(1, [io.RequestCancelled(1)])) == ["CancelAttempt"]
+    assert kinds(policy.handle(2, [outcome(1, 0, io.Status.CANCELLED, True)])) == []
     assert policy.tickets == {}
 
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -216,7 +216,7 @@
 def test_a_client_that_leaves_while_held_takes_nothing() -> None:
     policy = started(gateways=100)
     (call,) = calls(policy.handle(0, [request(1, plan="small", customer="c", entries=100)]))
-    assert kinds(policy.handle(1, [io.Lapsed(1)])) == []
+    assert kinds(policy.handle(1, [io.RequestCancelled(1)])) == []
     heard = policy.handle(MS, [lacking(policy, call, 1.0, MS)])
     assert [a.amount for a in calls(heard)] == [-1.0]
     assert "Assign" not in kinds(heard)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -31,7 +31,7 @@
     policy = started()
     policy.handle(0, [request(1, class_name="post", ttl_ns=SECOND)])
     assert kinds(policy.handle(SECOND - 3 * MS, [io.Timer(0)])) == []
-    assert kinds(policy.handle(SECOND - 2 * MS, [io.Timer(0)])) == ["Lose", "Revoke"]
+    assert kinds(policy.handle(SECOND - 2 * MS, [io.Timer(0)])) == ["Fail", "CancelAttempt"]
     assert kinds(policy.handle(2 * SECOND, [io.Timer(0)])) == []
 
 
@@ -54,10 +54,10 @@
 
 
 def test_an_unsafe_request_that_may_have_run_is_neither_repeated_nor_refused() -> None:
-    for status in (io.Status.EXPIRED, io.Status.ERROR, io.Status.DROPPED, io.Status.REVOKED):
+    for status in (io.Status.EXPIRED, io.Status.ERROR, io.Status.DROPPED, io.Status.CANCELLED):
         policy = started()
         policy.handle(0, [request(1, class_name="post")])
-        assert kinds(policy.handle(MS, [outcome(1, 0, status)])) == ["Lose"]
+        assert kinds(policy.handle(MS, [outcome(1, 0, status)])) == ["Fail"]
 
 
 def test_an_unsafe_request_that_never_ran_is_sent_again() -> None:
@@ -76,14 +76,14 @@
     assert kinds(policy.handle(3 * SECOND - MS, [outcome(2, 1, io.Status.ERROR)])) != ["Decline"]
     late = started(*cells)
     late.handle(0, [request(3, class_name="put", ttl_ns=4 * SECOND)])
-    assert kinds(late.handle(3 * SECOND, [outcome(3, 0, io.Status.ERROR)])) == ["Lose"]
+    assert kinds(late.handle(3 * SECOND, [outcome(3, 0, io.Status.ERROR)])) == ["Fail"]
 
 
 @pytest.mark.parametrize("connect_ms", [100, 250, 2000])
 def test_a_further_attempt_can_come_within_the_window_even_where_it_has_to_connect(connect_ms: int) -> None:
     # One chosen just within the window came after it, on a connection that took its time: a second effect.
     base = settings().limits
-    for before_end, again in ((connect_ms + 1, "Assign"), (connect_ms, "Lose"), (1, "Lose")):
+    for before_end, again in ((connect_ms + 1, "Assign"), (connect_ms, "Fail"), (1, "Fail")):
         policy = started(server("s1"), limits=replace(base, connect_ns=connect_ms * MS))
         policy.handle(0, [request(1, class_name="put", ttl_ns=4 * SECOND)])
         actions = policy.handle(3 * SECOND - before_end * MS, [outcome(1, 0, io.Status.ERROR)])
@@ -144,7 +144,7 @@
 
 STATUSES = [
     io.Status.DELIVERED, io.Status.ERROR, io.Status.SHED, io.Status.EXPIRED,
-    io.Status.DIAL_FAILED, io.Status.DROPPED, io.Status.REVOKED,
+    io.Status.DIAL_FAILED, io.Status.DROPPED, io.Status.CANCELLED,
 ]  # fmt: skip
 
 
@@ -178,7 +178,7 @@
                 case io.Decline():
                     self.declined(action.id)
                     self.end(action.id)
-                case io.Lose():
+                case io.Fail():
                     self.end(action.id)
                 case io.Count():
                     self.later_count(action)
