Fill the slow start of cold servers only, and tell each one's warmth once

Cause: since what cold servers get is bound by what warm ones answer, each choice filled the counter of every listed server and told its warmth twice, though a warm one's counter is never asked. Change: the warmth is told once a choice and kept; only cold servers' counters are filled and taken from. Decisions stay.

--- a/gingerworks/policy.py
+++ b/gingerworks/policy.py
@@ -364,7 +364,7 @@
     def __init__(self, entry: io.Server, now: int, level: float) -> None:
         self.entry = entry
         self.out = self.fails = self.ejected_until = self.failed_dials = self.unreachable_until = 0
-        self.slow = 1.0
+        self.slow = self.warmth = 1.0  # the latter as of the last choice
         self.told_at = self.waiting_since = self.slow_start_at = now
         self.met_at = -math.inf
         # Guards against a large fleet, where each gateway's share is one request in many seconds, leaving a
@@ -411,8 +411,10 @@
 
     def fill_slow_starts(self, now: int) -> None:
         """Rule 4: a cold server gets from each gateway its warmth's share of what a warm one gets."""
-        ready = [(b, self.warmth(b, now)) for b in self.backends.values() if b.entry.phase is io.Phase.READY]
-        total = sum(warmth for _, warmth in ready)
+        ready = [b for b in self.backends.values() if b.entry.phase is io.Phase.READY]
+        for b in ready:
+            b.warmth = self.warmth(b, now)
+        total = sum(b.warmth for b in ready)
         gone, self.rate_at = now - self.rate_at, now
         # The rate of about the last two seconds.
         self.rate = self.rate * math.exp(-gone / (2 * SECOND)) + 0.5
@@ -423,15 +425,16 @@
         # see answered is, in sum, within what warm servers take.  Too few answers tell nothing.
         if self.taken >= SEEN_ENOUGH:
             each = min(each, self.settings.rules.overload_factor * self.taken / max(SLIVER, self.stood))
-        for b, warmth in ready:
-            b.slow_start.refill(each * warmth * (now - b.slow_start_at) / SECOND)
+        for b in ready:
+            if b.warmth < 1.0:
+                b.slow_start.refill(each * b.warmth * (now - b.slow_start_at) / SECOND)
             b.slow_start_at = now
 
     def pick(self, now: int, mean: float, allowed: Iterable[Backend], tried: Sequence[str]) -> Backend | None:
         """The server with the shortest expected wait."""
         self.fill_slow_starts(now)
         ready = (b for b in allowed if b.entry.phase is io.Phase.READY)
-        fit = [b for b in ready if self.warmth(b, now) >= 1.0 or b.slow_start.covers(1.0)]
+        fit = [b for b in ready if b.warmth >= 1.0 or b.slow_start.covers(1.0)]
         # Nobody listens there: left out as long as anything else is left, however many they are.
         live = [b for b in fit if b.unreachable_until <= now] or fit
         fresh = [b for b in live if b.entry.name not in tried] or live
@@ -439,7 +442,7 @@
         well = [b for b in fresh if b.ejected_until <= now]
         pool = well if 2 * len(well) >= len(fresh) else fresh
         # A cold one that may have its share has it first: compared by waits it would stay idle.
-        order = {b: (self.warmth(b, now) >= 1.0, self.wait(b, now, mean), self.rng.random()) for b in pool}
+        order = {b: (b.warmth >= 1.0, self.wait(b, now, mean), self.rng.random()) for b in pool}
         return min(order, key=lambda b: order[b], default=None)
 
     def wait(self, backend: Backend, now: int, mean: float) -> float:
@@ -463,7 +466,8 @@
         if backend.out == 0:
             backend.waiting_since = now
         backend.out += 1
-        backend.slow_start.shift(-1.0)
+        if backend.warmth < 1.0:
+            backend.slow_start.shift(-1.0)
 
     def answered(self, backend: Backend, outcome: io.Outcome, kind: io.RequestClass, now: int) -> None:
         """Learn from an outcome."""
