Force clients that leave the backlog of a full table, also at the graceful end

Their request and its end lie there until somebody else has left; an idle connection then takes the request in the turn in which it is read. All six cases fail where a client's socket is not looked at before an attempt.

--- a/gingerworks/gateway/__main__.py
+++ b/gingerworks/gateway/__main__.py
@@ -22,7 +22,7 @@
 
 OWN_SOCKETS = 48  # standard streams, the loop's, the listener, discovery, the counter, and some to spare
 CLIENT_SHARE = 0.55  # of the rest; servers get what is left
-FIRST_LIST_S = 1.0  # for discovery's first answer: as long as a connection to it may take to come up
+FIRST_LIST_S = 1.0  # for discovery's first answer: a connection and as long again; the only wait of a start
 
 log = logging.getLogger("gateway")
 
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -438,3 +438,32 @@
         assert len(server.requests) == 1
 
     run(scenario())
+
+
+@at_once
+@pytest.mark.parametrize("ending", [False, True])
+def test_in_the_backlog_of_a_full_table(
+    leave: Callable[[Raw], None], ending: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(backend, "SETTLE_NS", 0)  # an idle connection takes the request in the same turn
+
+    async def scenario() -> None:
+        server, release = await holding()
+        made = gateway(server.address, limits={"sockets": 64})
+        taken = [await Client.to(made) for _ in range(made.frontend._budget)]
+        for client in taken:
+            client.writer.write(ask("post"))
+        await until(lambda: len(server.requests) == len(taken))
+        late = Raw(made, ask("post"))
+        leave(late)
+        if ending:
+            made.frontend.end()
+        release.set()
+        for client in taken:
+            assert (await client.answer())[0] == 200
+            client.writer.close()
+        await until(lambda: made.runtime._serial == len(taken) + 1 or leave is Raw.reset)
+        await forgotten(made)
+        assert len(server.requests) == len(taken)
+
+    run(scenario())
