--- a/tests/test_discovery_told.py
+++ b/tests/test_discovery_told.py
@@ -116,7 +116,7 @@
     """Seconds from a change until a watch that has been in trouble for a while hears of it."""
 
     async def scenario() -> float:
-        agent = Agent(trouble, 10.0 + 10.0 * random.Random(seed).random())
+        agent = Agent(trouble, 20.0 + 20.0 * random.Random(seed).random())
         peer = await Peer(agent.script).start()
         heard: asyncio.Future[float] = asyncio.get_running_loop().create_future()
 
