Use one look at an unsent answer, one name for cancelling, one way to fill a table

The look for clients that do not read asked the transport itself, beside the method that making room had got for the same; Backends.revoke was the last place with the former word; two tests filled the table with the same five lines. What the program does and what the tests check stays.

--- a/gingerworks/gateway/backend.py
+++ b/gingerworks/gateway/backend.py
@@ -315,7 +315,7 @@
             connection.write()
         return None
 
-    def revoke(self, attempt: Attempt) -> None:
+    def cancel(self, attempt: Attempt) -> None:
         """Give up an attempt by closing its connection."""
         if attempt.connection is not None:
             self.end(attempt.connection, io.Status.CANCELLED)
@@ -323,7 +323,7 @@
     def abandon(self, attempt: Attempt) -> None:
         """Give up an attempt whose end nobody wants to hear of."""
         attempt.ended = _ignore
-        self.revoke(attempt)
+        self.cancel(attempt)
 
     def end(
         self, connection: Connection, status: io.Status, answer: Answer | None = None, keep: bool = False
--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -284,7 +284,7 @@
             transport.abort()
         if transport is None or self.number is not None:
             return
-        if self.leaving or transport.is_closing() or transport.get_write_buffer_size() > 0:
+        if self.leaving or transport.is_closing() or self.unsent():
             if waited >= UNREAD_NS:
                 transport.abort()
         elif self.reading:
--- a/gingerworks/gateway/runtime.py
+++ b/gingerworks/gateway/runtime.py
@@ -265,7 +265,7 @@
             else None
         )
         if attempt is not None:
-            self._backends.revoke(attempt)
+            self._backends.cancel(attempt)
 
     def _decline(self, action: io.Decline) -> None:
         inflight = self._in_flight.get(action.id)
--- a/gingerworks/policy.py
+++ b/gingerworks/policy.py
@@ -373,7 +373,7 @@
 
 
 class Servers:
-    """The roster, what each server has out, how fast it answers, its health and its cold ramp."""
+    """The roster, what each server has out, how fast it answers, its health and its slow start."""
 
     def __init__(self, settings: io.Settings, rng: random.Random, now: int) -> None:
         self.settings = settings
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -541,7 +541,7 @@
         given_up = attempt(ended)
         made.start(given_up)
         await until(lambda: bool(held))
-        made.revoke(given_up)
+        made.cancel(given_up)
         await ends.wait()
         assert [status for status, _ in ended] == [io.Status.CANCELLED]
         assert server.requests == [b""]
--- a/tests/test_gateway_crowd.py
+++ b/tests/test_gateway_crowd.py
@@ -57,6 +57,16 @@
     return made.runtime._serial == requests and len(made.frontend._idle) == 1
 
 
+async def all_but_one(made: Gateway, asked: bool) -> list[Client]:
+    """As many clients as leave room for one more; they rest after an answer, or have said nothing."""
+    clients = [await Client.to(made) for _ in range(made.frontend._budget - 1)]
+    await until(lambda: len(made.frontend._new) == len(clients))
+    if asked:
+        for client in clients:
+            assert (await client.send(ask()))[0] == 200
+    return clients
+
+
 async def counting() -> Peer:
     """A counter that takes all it is told."""
 
@@ -280,11 +290,7 @@
     async def scenario() -> None:
         server = await answering(OK)
         made = gateway(server.address, limits=ROOM_FOR_EIGHT)
-        clients = [await Client.to(made) for _ in range(made.frontend._budget - 1)]
-        await until(lambda: len(made.frontend._new) == len(clients))
-        if asked:
-            for client in clients:
-                assert (await client.send(ask()))[0] == 200
+        clients = await all_but_one(made, asked)
         before = len(server.requests)
         crossing = clients[0]  # the first to go
         sock: socket.socket = crossing.writer.get_extra_info("socket")
@@ -304,11 +310,7 @@
     async def scenario() -> None:
         server = await answering(OK)
         made = gateway(server.address, limits=ROOM_FOR_EIGHT)
-        clients = [await Client.to(made) for _ in range(made.frontend._budget - 1)]
-        await until(lambda: len(made.frontend._new) == len(clients))
-        if asked:
-            for client in clients:
-                assert (await client.send(ask()))[0] == 200
+        clients = await all_but_one(made, asked)
         before = made.runtime._serial
         made.frontend._make_room()
         for client in clients:
