Spend counter calls on the dearest doubts, and guesses on a budget

Both the units beyond quotas (8 to 30% of a window) and the refusals with half of the quota unused (20 to 33%) were high: the gateways did not know the stores.

Of what went beyond quotas 80% was let in unasked (Quotas.verdict's last line, Customer.guess on a share of a fraction of a request), most of the rest by readings of counts that were wrong: 0.2 to 1.25 bursts too high on the mean, as one request told 1 / asking times its units (Quotas.call) and as Policy.admit refused for the ceiling what Customer.reading had booked, and nothing took it back. Ruled out: calls without an answer (5% of the units beyond), the share itself (1%).

Change: guesses.py learns the chance that a reading lets a request pass, asks about those first whose wrong decision would cost most, and lets others in only where that gains more than it costs, within a budget for expected overruns. Calls tell what was let in and no more; likely refusals add nothing before their reading; what was booked and then refused is given back; repairs need no claim, as the order of answers tells who was first; what one gateway alone has sent on tells it surely dry stores.

What went beyond an empty store used to be forgiven at once.

--- a/gingerworks/policy/customer.py
+++ b/gingerworks/policy/customer.py
@@ -14,15 +14,18 @@
 from gingerworks import interface as io
 from gingerworks.policy.constants import COUNT_KEEP_NS, REPORT_PERIOD_NS, SECOND, SLIVER, SWEEP_NS
 from gingerworks.policy.gap_counter import GapCounter
+from gingerworks.policy.guesses import BUSY, Room, Tally, room_of
 from gingerworks.policy.in_flight import InFlight
 
-CREDIT = 0.5  # of the burst: unused refill beyond a full store that is let stand in the shared count
-CLAIM_WAITS = 4  # for a call: the claim's, one that is out, the repair's, and one to spare
+CREDIT = 0.25  # of the burst: unused refill beyond a full store that is let stand in the shared count
+EXCESS = 0.5  # of the burst: use beyond an empty store that is let stand in the shared count
+REPAIR_WAITS = 4  # for a call: until a repair, and what others undo of theirs, has surely been read
 TRUST_PERIODS = 3.0  # readings older than this many periods count for less and less
 SLACK_USED = 0.5  # of the ceiling's slack; the rest is for what was not thought of
 PART_ROOM = 1.5  # of the largest request: what a part of a ceiling holds before readings pass any beside it
 LEAST_APART = 0.5  # of the quota, out of a ceiling that leaves as much: readings pass so much at the least
 UNUSED_APART = 0.1  # of the burst, out of a ceiling: unused refill that is let stand in the shared count
+LIKELY = 0.5  # chance to pass from which a request's units are added by the call that asks about it
 
 
 class CustomerContext(Protocol):
@@ -61,7 +64,7 @@
         if settings.has_counter and plan.rate > 0 < min(rest):
             (store, rate), self.apart = rest, part * plan.burst
             self.credit = UNUSED_APART * plan.burst + (1 - SLACK_USED) * plan.ceiling_slack
-        self.claim_ns = CLAIM_WAITS * settings.counter_wait_ns
+        self.repair_ns = REPAIR_WAITS * settings.counter_wait_ns
         self.beside = False
         self.ceiling_even = rate / entries
         if plan.ceiling_rate > 0:
@@ -71,8 +74,14 @@
         self.even = plan.rate / entries
         self.others = plan.rate - self.even
         self.used = -math.inf  # not known
-        self.pending = self.repair = self.elected = 0.0
-        self.claimed_at = -math.inf
+        self.pending = self.repair = 0.0
+        self.repair_seen = 0.0  # what the count lacked as the repair was found due
+        self.repaired_at = -math.inf
+        self.excess_since: int | None = None
+        self.readings = Tally()
+        self.sent_use = 0.0  # what the store lacks at the least by what was sent on from here
+        self.sent_at = self.demand_at = now
+        self.demand = 0.0
         self.last = self.read_at = self.seen_at = now
         self.scheduled = self.dry = False
         self.heard = True
@@ -102,6 +111,38 @@
         """What the store lacks at the least: all that was missing at the last reading, less its refill."""
         return max(0.0, self.used - self.plan.rate * (now - self.read_at) / SECOND)
 
+    def least_sent(self, now: int) -> float:
+        """What the store lacks at the least by what this gateway alone has sent on."""
+        return max(0.0, self.sent_use - self.plan.rate * (now - self.sent_at) / SECOND)
+
+    def sent(self, units: float, now: int) -> None:
+        """Note use that was sent on; what is beyond the burst takes nothing from the store."""
+        least = self.least_sent(now)
+        self.sent_use = least + units if least + units <= self.gap.cap + SLIVER else least
+        self.sent_at = now
+
+    def surely_beyond(self, units: float, now: int) -> bool:
+        """Whether the store cannot hold these units, whatever the other gateways have sent on."""
+        return max(self.least_used(now), self.least_sent(now)) + units > self.gap.cap + SLIVER
+
+    def asked_for(self, units: float, now: int) -> bool:
+        """Note a request; whether many units were asked for here before, within the time of a refill."""
+        fades = self.plan.rate * (now - self.demand_at) / SECOND / self.gap.cap
+        before = self.demand * math.exp(-fades)
+        self.demand, self.demand_at = before + units, now
+        return before >= BUSY * self.gap.cap
+
+    def room(self, units: float, busy: bool) -> Room:
+        """What is known of the room for a request that the slice does not cover."""
+        if self.used < 0:
+            return Room.UNREAD_BUSY if busy else Room.UNREAD
+        return room_of((self.gap.level - units) / self.gap.cap)
+
+    def give_back(self, units: float) -> None:
+        """Undo what a reading booked for a request that was then refused for another reason."""
+        self.pending -= units
+        self.used -= units
+
     def advice(self, units: float) -> int:
         """How long until the quota covers a request, if nobody else uses it."""
         return int(max(0.0, units - self.gap.level) / max(self.plan.rate, SLIVER) * SECOND)
@@ -120,23 +161,42 @@
         digest = hashlib.blake2b(f"{self.key} {epoch}".encode(), digest_size=8).digest()
         return int.from_bytes(digest, "big") >> 1, now - age  # the counter's names have 63 bits
 
-    def reading(
-        self, call: Call, level: float, asking: float, now: int
-    ) -> list[tuple[InFlight[Customer], bool]]:
+    def undo_repair(self, call: Call, lacked: float) -> float:
+        """Take back a repair that another gateway had made first; the amount is returned, 0 if none.
+
+        ``lacked`` is what the count lacked as the repair reached it.  Answers come in the order of the calls
+        at the counter, so that of several who repair the same fault exactly the first finds it as it was.
+        """
+        repaired_part = (lacked - call.repair_seen) / call.repair if call.repair else 0.0
+        if repaired_part <= 0.5:
+            return 0.0
+        self.pending -= call.repair
+        return call.repair
+
+    def fault(self, before: float, now: int) -> float:
+        """What a count that lacks this much has to be put right by, 0 if nothing.
+
+        A full store takes no refill, lost counts seem unused, use beyond an empty store takes nothing.
+        """
+        least = self.least_used(now)
+        if before <= (1 + EXCESS) * self.gap.cap:
+            self.excess_since = None
+            return least - before if before < least - self.credit else 0.0
+        # Guards against taking repairs of several gateways, of which all but one are undone, for use.
+        if self.excess_since is None:
+            self.excess_since = now
+        return self.gap.cap - before if now - self.excess_since >= self.repair_ns else 0.0
+
+    def reading(self, call: Call, level: float, now: int) -> list[tuple[InFlight[Customer], bool]]:
         """Learn from the shared count what the store lacks; says which of the requests held it covers."""
-        told = max(0.0, call.told)  # below 0 it takes back what this gateway had put in for nothing
         since = self.plan.rate * (now - call.began) / SECOND
+        level -= self.undo_repair(call, level - call.amount - since)
+        told = max(0.0, call.told)  # below 0 it takes back what this gateway had put in for nothing
         before = level - (call.amount - call.told - call.repair + told) - since
-        untold, least, wrong = max(0.0, self.pending), self.least_used(now), 0.0
-        # A full store takes no refill, lost counts seem unused, use beyond an empty store takes nothing: all
-        # are put right by one of those who see it.
-        credit = self.credit / (1.0 if self.apart > 0 else asking)
-        if before < least - credit:
-            wrong = least - before
-        elif before * asking**2 > (1 + CREDIT) * self.gap.cap:
-            wrong = self.gap.cap - before
-        self.repair = wrong
-        used = max(least, before + wrong) + told
+        untold, wrong = max(0.0, self.pending), self.fault(before, now)
+        self.repair, self.repair_seen = wrong, before
+        lacks = self.gap.cap if self.excess_since is not None else before + wrong
+        used = max(self.least_used(now), lacks) + told
         seconds = max(SLIVER, (now - self.read_at) / SECOND)
         elsewhere = min(self.plan.rate, max(0.0, self.plan.rate + (used - told - self.used) / seconds))
         self.others += (elsewhere - self.others) * seconds / (seconds + REPORT_PERIOD_NS / SECOND)
@@ -147,6 +207,7 @@
             self.dry = not covered
             if covered and not inflight.closed:
                 used += inflight.request.units
+                self.pending += inflight.request.units - amount
             else:
                 self.pending -= amount
             verdicts.append((inflight, covered))
@@ -155,7 +216,7 @@
         self.used, self.read_at = used, now
         # While it is wrong one reading counts, the first: until it has been put right it tells of no store.
         at_rest = used <= max(self.apart, lately) and self.apart > 0
-        self.beside = at_rest and (not wrong or now - self.claimed_at >= self.claim_ns)
+        self.beside = at_rest and (not wrong or now - self.repaired_at >= self.repair_ns)
         return verdicts
 
     def idle(self, now: int) -> bool:
@@ -166,11 +227,25 @@
 
 
 class Call:
-    """A call to the shared counter: use told, and requests held for its answer with what each adds."""
+    """A call to the shared counter: use told, a repair, and requests held with what each adds.
+
+    A request that is more likely to be refused than to pass adds nothing before it has passed.
+    """
 
-    def __init__(self, customer: Customer, began: int) -> None:
+    def __init__(self, customer: Customer, began: int, repair: float) -> None:
         self.customer = customer
         self.began = began
-        self.told, self.repair = customer.pending, customer.elected
-        self.held: list[tuple[InFlight[Customer], float]] = []
-        self.amount = self.told + self.repair
+        self.told = customer.pending
+        self.repair, self.repair_seen = repair, customer.repair_seen
+        self.held = [(inflight, self._added_first(inflight)) for inflight in customer.waiting]
+        self.amount = self.told + self.repair + sum(amount for _, amount in self.held)
+
+    @staticmethod
+    def _added_first(inflight: InFlight[Customer]) -> float:
+        likely = inflight.doubt is None or inflight.doubt.chance >= LIKELY
+        return inflight.request.units if likely else 0.0
+
+    @property
+    def reads_first(self) -> bool:
+        """Whether a request held adds its units only after it has passed."""
+        return any(amount == 0.0 for _, amount in self.held)
--- a/gingerworks/policy/driver.py
+++ b/gingerworks/policy/driver.py
@@ -10,6 +10,7 @@
 from gingerworks.policy.constants import PATIENCE_MEANS, SECOND, SWEEP_NS
 from gingerworks.policy.customer import Customer
 from gingerworks.policy.gap_counter import GapCounter
+from gingerworks.policy.guesses import Room
 from gingerworks.policy.in_flight import Attempt, InFlight
 from gingerworks.policy.load_shedding import LoadShedder
 from gingerworks.policy.quotas import Quotas
@@ -115,13 +116,12 @@
         """Admit or refuse a request, at once."""
         inflight = self._begin(request)
         customer, plan, units = inflight.customer, inflight.customer.plan, request.units
-        inside = self.quotas.verdict(customer, units, self.now)
+        inside = self.quotas.verdict(inflight, self.now)
         if inside is False and plan.excess_worth <= plan.overrun_cost:
             return self.decline(inflight, customer.advice(units))
         if inside is not None and not customer.unheard(units):
             # Beyond this gateway's part of the ceiling only the shared count can tell, late or not.
-            asks = self.settings.has_counter and (customer.heard or self.quotas.may_ask())
-            if not inside or not asks:
+            if not inside or not self.quotas.asks(inflight, Room.BEYOND_PART):
                 return self.decline(inflight, 0)
             inside = None
         if self._sheds(inflight):
@@ -133,8 +133,8 @@
             self.actions += self.quotas.call(customer, self.now)
             return None
         self.admit(inflight, units if inside else 0.0)
-        if inside:
-            self._book(customer, units)
+        if inside and self.quotas.book(customer, units):
+            self.report(customer)
         return None
 
     def _begin(self, request: io.Request) -> InFlight[Customer]:
@@ -153,50 +153,54 @@
         work = self.servers.means[kind.name]
         return self.rng.random() > self.shedder.passes(kind, plan, units, work, self.now)
 
-    def _book(self, customer: Customer, units: float) -> None:
-        """Note use that the gateway's own slice covered, to be reported to the counter."""
-        # A guess beyond the share is not told but with a next call: those asked about stand for it.
-        if units <= customer.share or customer.ceiling is not None:
-            customer.pending += units
-            if units <= customer.share:
-                self.report(customer)
-
-    def admit(self, inflight: InFlight[Customer], charge: float, heard: bool = False) -> None:
+    def admit(self, inflight: InFlight[Customer], charge: float, heard: bool = False) -> bool:
         """Send on a request, or refuse it for want of a server; ``heard``: a reading has booked it."""
         customer, units = inflight.customer, inflight.request.units
         backend = self.choose(inflight)
         heard = heard and customer.beside
         if backend is None or not (heard or customer.unheard(units)):
-            return self.decline(inflight, 0)
+            self.decline(inflight, 0)
+            return False
         customer.gap.shift(-charge)
         if customer.ceiling is not None:
             customer.ceiling.shift(-min(units, max(0.0, customer.ceiling.level)) if heard else -units)
+        self.quotas.sent(inflight, self.now)
         self.retry_budget.refill(RETRY_SHARE)
-        return self.send(inflight, backend)
+        self.send(inflight, backend)
+        return True
 
     def counted(self, answer: io.Counted) -> None:
         """Decide the requests that were held for this reading."""
-        if answer.count in self.quotas.claims:
-            self.actions += self.quotas.claimed(answer, self.now)
-            return
+        call = self.quotas.calls.get(answer.count)
         told = self.quotas.counted(answer, self.now)
-        if told is None:
+        if call is None or told is None:
             return
         customer, verdicts = told
         for inflight, covered in verdicts:
-            if covered and not inflight.closed:
-                self.admit(inflight, inflight.request.units, customer.heard)
-            elif not inflight.closed:
-                self.decline(inflight, customer.advice(inflight.request.units))
+            if not inflight.closed:
+                self._decide(inflight, covered)
         # Taken back at once only while the counter keeps up: a quarter of its calls told of refusals.
         owed = customer.pending < 0 and self.quotas.asking >= IN_TIME_ASKING
+        owed = owed or (customer.pending > 0 and call.reads_first)
         if customer.heard:
-            self.actions += self.quotas.claim(customer, self.now)
-        if customer.waiting or customer.elected or (customer.heard and owed):
+            self.actions += self.quotas.repair(customer, self.now)
+        if customer.waiting or (customer.heard and owed):
             self.actions += self.quotas.call(customer, self.now)
         elif customer.pending > 0 or (customer.heard and customer.pending < 0):
             self.report(customer)
 
+    def _decide(self, inflight: InFlight[Customer], covered: bool) -> None:
+        """Let in or refuse a request after the answer about it has come, or its time is over."""
+        customer, units = inflight.customer, inflight.request.units
+        if customer.heard:
+            passes = covered and (customer.beside or customer.unheard(units))
+            self.quotas.learn(inflight, passes)
+        if not covered:
+            self.decline(inflight, customer.advice(units))
+        elif not self.admit(inflight, units, customer.heard):
+            # Guards against a count that grows by what was booked and then refused for the ceiling's sake.
+            customer.give_back(units)
+
     def report(self, customer: Customer) -> None:
         """See to it that the counter hears of this customer in time."""
         at = self.quotas.next_call(customer, self.now)
--- a/gingerworks/policy/gap_counter.py
+++ b/gingerworks/policy/gap_counter.py
@@ -33,6 +33,12 @@
         self.phase -= intervals
         self.level = min(self.cap, self.level + intervals * self.m)
 
+    def resize(self, cap: float) -> None:
+        """Change the cap; the level keeps its part of it."""
+        self.level *= cap / self.cap
+        self.cap = cap
+        self.m = cap / INTERVALS_TO_FULL
+
     def covers(self, units: float) -> bool:
         """Whether the allowance covers a request in full."""
         return self.level >= units - SLIVER
--- /dev/null
+++ b/gingerworks/policy/guesses.py
@@ -0,0 +1,156 @@
+"""Requests that a gateway's own slice does not cover: which to ask about, and which to let in unasked.
+
+A call of the shared counter is spent where a wrong decision would cost the most, and a guess only where its
+expected gain exceeds its expected cost.  What guesses may cost in the long run is held to a share of the
+worth let in.  Worth is that of the class, times the price of the plan, times the units of the request.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+from gingerworks.policy.constants import SLIVER
+from gingerworks.policy.gap_counter import GapCounter
+
+CUSTOMER_MEMORY = 0.8  # of a customer's earlier readings, at each further one: about the last five count
+GATEWAY_MEMORY = 0.98  # of all readings of a kind: about the last fifty count
+PRIOR_READINGS = 2.0  # as many readings of a kind weigh as much as all that is known of a wider kind
+START_CHANCE = 0.75  # before any reading: stores start full
+BUSY = 0.25  # of the burst: units asked for lately from which a customer without a reading counts as busy
+SCANT_ROOM = 0.25  # of the burst
+AMPLE_ROOM = 0.6  # of the burst
+OVERRUN_SHARE = 0.02  # of the worth let in: what guesses are expected to cost by units beyond quotas
+OVERRUN_BURST = 5.0  # mean requests' worth that the cost of guesses may run ahead
+MEAN_GAIN = 0.02  # of running means: about the last fifty requests count
+
+
+class Room(Enum):
+    """What a gateway knows of the room for a request in its customer's store."""
+
+    UNREAD = "no reading has been taken"
+    UNREAD_BUSY = "no reading has been taken, though requests have come at some rate"
+    NONE = "less than the request needs"
+    SCANT = "hardly more than the request needs"
+    SOME = "more than the request needs"
+    AMPLE = "most of the store is unused"
+    BEYOND_PART = "enough in the quota, but not in this gateway's part of the ceiling"
+
+
+def room_of(left: float) -> Room:
+    """The room where this part of the burst is left after the request."""
+    if left < 0:
+        return Room.NONE
+    if left < SCANT_ROOM:
+        return Room.SCANT
+    return Room.SOME if left < AMPLE_ROOM else Room.AMPLE
+
+
+class Tally:
+    """How many of the readings of a kind let the request pass; older ones fade."""
+
+    def __init__(self) -> None:
+        self.asked = 0.0
+        self.passed = 0.0
+
+    def share(self, prior: float) -> float:
+        """The part that passed, where ``prior`` is what is known from elsewhere."""
+        return (self.passed + PRIOR_READINGS * prior) / (self.asked + PRIOR_READINGS)
+
+    def add(self, passed: bool, memory: float) -> None:
+        """Count one reading; ``memory`` is what remains of the earlier ones."""
+        self.asked = self.asked * memory + 1.0
+        self.passed = self.passed * memory + passed
+
+
+UNTAUGHT = Tally()
+
+
+@dataclass(frozen=True, slots=True)
+class Doubt:
+    """A request that the slice does not cover, and what is known of it.
+
+    ``chance`` is that of a reading to let it pass.  ``overrun_cost`` is the cost, for each worth, of letting
+    it in although it is beyond the quota.
+    """
+
+    plan: str
+    is_retry: bool
+    room: Room
+    chance: float
+    worth: float
+    overrun_cost: float
+
+    @property
+    def guess_cost(self) -> float:
+        """Expected cost of letting it in unasked."""
+        return (1.0 - self.chance) * self.overrun_cost * self.worth
+
+    @property
+    def loss(self) -> float:
+        """Expected loss if it is not asked about, whichever way is then chosen."""
+        refused = self.chance * self.worth
+        return refused if self.room is Room.BEYOND_PART else min(refused, self.guess_cost)
+
+
+class Guesses:
+    """Learns from readings, and decides on the doubtful requests of one gateway."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._tallies: dict[tuple[bool, Room], Tally] = {}
+        self._tallies_of_plans: dict[tuple[str, bool, Room], Tally] = {}
+        self._mean_loss = Mean()
+        self._mean_worth = Mean()
+        # Empty at first: what a former life of this gateway let in is not known.
+        self._budget = GapCounter(SLIVER, 0.0, 0.0)
+
+    def chance(self, plan: str, is_retry: bool, room: Room, of_customer: Tally) -> float:
+        """The chance that a reading lets such a request of a customer with these readings pass."""
+        of_all = self._tallies.get((is_retry, room), UNTAUGHT)
+        of_plan = self._tallies_of_plans.get((plan, is_retry, room), UNTAUGHT)
+        return of_customer.share(of_plan.share(of_all.share(START_CHANCE)))
+
+    def learn(self, doubt: Doubt, of_customer: Tally, passed: bool) -> None:
+        """Take in a reading for a doubtful request."""
+        of_customer.add(passed, CUSTOMER_MEMORY)
+        kind = doubt.is_retry, doubt.room
+        self._tallies.setdefault(kind, Tally()).add(passed, GATEWAY_MEMORY)
+        self._tallies_of_plans.setdefault((doubt.plan, *kind), Tally()).add(passed, GATEWAY_MEMORY)
+
+    def asks(self, doubt: Doubt, asking: float) -> bool:
+        """Whether to spend a call: for the dearest first; ``asking`` 1 asks about all."""
+        self._mean_loss.add(doubt.loss)
+        if asking >= 1.0:
+            return True
+        # As often as ``asking`` says while that is little, and ever nearer to all as the counter keeps up.
+        often = asking / (1.0 - asking**2)
+        return self._rng.random() < often * doubt.loss / max(SLIVER, self._mean_loss.value)
+
+    def lets_in(self, doubt: Doubt) -> bool:
+        """Whether to let in a request unasked: its gain is worth it, the more so the less budget is left."""
+        cost, budget = doubt.guess_cost, self._budget
+        if not budget.covers(cost) or doubt.chance * doubt.worth * budget.level < cost * budget.cap:
+            return False
+        budget.shift(-cost)
+        return True
+
+    def sent(self, worth: float) -> None:
+        """A request was sent on: what guesses may cost grows with it."""
+        self._mean_worth.add(worth)
+        self._budget.resize(OVERRUN_BURST * self._mean_worth.value)
+        self._budget.refill(OVERRUN_SHARE * worth)
+
+
+class Mean:
+    """A running mean: exact at first, then of about the last fifty values."""
+
+    def __init__(self) -> None:
+        self.value = 0.0
+        self._count = 0
+
+    def add(self, value: float) -> None:
+        """Take in one value."""
+        self._count += 1
+        self.value += max(MEAN_GAIN, 1.0 / self._count) * (value - self.value)
--- a/gingerworks/policy/in_flight.py
+++ b/gingerworks/policy/in_flight.py
@@ -5,6 +5,7 @@
 from typing import Generic, TypeVar
 
 from gingerworks import interface as io
+from gingerworks.policy.guesses import Doubt
 from gingerworks.policy.servers import Backend
 
 # The type of a request's customer.  Customers hold requests, so their module imports this one.
@@ -32,6 +33,7 @@
         self.deadline = now + request.ttl_ns
         self.attempts: list[Attempt] = []
         self.closed = self.streaming = False
+        self.doubt: Doubt | None = None  # what was known of its quota, if that was in doubt
 
     def out(self) -> int:
         """Attempts without an outcome."""
--- a/gingerworks/policy/quotas.py
+++ b/gingerworks/policy/quotas.py
@@ -6,18 +6,19 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 
 from gingerworks import interface as io
-from gingerworks.policy.constants import COUNT_KEEP_NS, REPORT_PERIOD_NS, SECOND, SLIVER
+from gingerworks.policy.constants import COUNT_KEEP_NS, REPORT_PERIOD_NS, SECOND
 from gingerworks.policy.customer import Call, Customer
+from gingerworks.policy.guesses import Doubt, Guesses, Room
 from gingerworks.policy.in_flight import InFlight
 
-DRY_ASKING = 0.5  # of requests of a customer last seen beyond its quota, at one of many gateways
 LEAST_ASKING = 0.1  # of doubtful requests: so many still ask a counter that does not answer
 CUSTOMERS_MOST = 20_000  # far more than ask within a few sweeps
-QUANTUM = 0.25  # of an even share of the burst: use that is told at once, as others may be spending it too
+QUANTUM = 0.25  # of the known room, or of the even share: use that is told at once, as others spend it too
+UNTOLD = 0.5  # of the burst: what was let in on guesses is told by a call of its own from so much on
+SILENT_NS = 3 * REPORT_PERIOD_NS  # without an answer: the counter is taken for gone
 
 
 class Quotas:
@@ -30,8 +31,9 @@
         self.plans = {plan.name: plan for plan in settings.plans}
         self.customers: dict[tuple[str, str], Customer] = {}
         self.calls: dict[int, Call] = {}
-        self.claims: dict[int, tuple[Customer, float]] = {}
+        self.guesses = Guesses(rng)
         self.asking = self.keeps_up = 1.0
+        self.answered_at = start
 
     def customer(self, request: io.Request, now: int) -> Customer:
         """The customer of a request, with counters refilled; a wrong plan in its name is counted apart."""
@@ -43,77 +45,96 @@
         customer.seen_at = now
         return customer
 
-    def verdict(self, customer: Customer, units: float, now: int) -> bool | None:
+    def verdict(self, inflight: InFlight[Customer], now: int) -> bool | None:
         """Whether the allowance covers a request; none: that takes a reading of the shared count."""
+        customer, units = inflight.customer, inflight.request.units
         gap, counter = customer.gap, self.settings.has_counter
+        busy = customer.asked_for(units, now)
         if customer.plan.rate <= 0 or (gap.covers(units) and (units <= customer.share or not counter)):
             return True
-        if not counter or customer.least_used(now) + units > gap.cap + SLIVER:
+        if not counter or customer.surely_beyond(units, now):
             return False
-        # A store shared by so many that a part covers no request: each refusal costs two calls, and the
-        # customer's other gateways ask for what it refills as well.
-        contested = customer.dry and units > customer.share
-        if contested and self.rng.random() >= DRY_ASKING:
-            return False
-        return None if self.may_ask() else customer.guess(units)
+        if self.asks(inflight, customer.room(units, busy)):
+            return None
+        return self.guess(inflight, now)
 
-    def may_ask(self) -> bool:
-        """Whether to take a reading for a doubtful request: less often while the counter is late."""
-        return self.rng.random() < self.asking
+    def asks(self, inflight: InFlight[Customer], room: Room) -> bool:
+        """Whether to take a reading for a doubtful request: the dearest first while the counter is late."""
+        if not self.settings.has_counter:
+            return False
+        inflight.doubt = doubt = self.doubt(inflight, room)
+        return self.guesses.asks(doubt, self.asking)
+
+    def doubt(self, inflight: InFlight[Customer], room: Room) -> Doubt:
+        """What is known of a request that the slice, or the part of a ceiling, does not cover."""
+        customer, is_retry = inflight.customer, inflight.request.is_retry
+        plan = customer.plan
+        chance = self.guesses.chance(plan.name, is_retry, room, customer.readings)
+        return Doubt(plan.name, is_retry, room, chance, self.worth(inflight), plan.overrun_cost)
+
+    def guess(self, inflight: InFlight[Customer], now: int) -> bool:
+        """Whether to let in a doubtful request unasked; by the even split while the counter is away."""
+        if inflight.doubt is None or now - self.answered_at > SILENT_NS:
+            return inflight.customer.guess(inflight.request.units)
+        return self.guesses.lets_in(inflight.doubt)
+
+    def worth(self, inflight: InFlight[Customer]) -> float:
+        """What serving a request inside its quota is worth."""
+        return inflight.kind.worth * inflight.customer.plan.price * inflight.request.units
+
+    def sent(self, inflight: InFlight[Customer], now: int) -> None:
+        """Note that a request was sent on for the first time."""
+        inflight.customer.sent(inflight.request.units, now)
+        self.guesses.sent(self.worth(inflight))
+
+    def learn(self, inflight: InFlight[Customer], passed: bool) -> None:
+        """Note whether a reading let a doubtful request pass."""
+        if inflight.doubt is not None:
+            self.guesses.learn(inflight.doubt, inflight.customer.readings, passed)
+
+    def is_due(self, customer: Customer) -> bool:
+        """Whether use not yet told has grown so large that others should hear of it now."""
+        return customer.pending > QUANTUM * max(customer.share, customer.gap.level)
+
+    def book(self, customer: Customer, units: float) -> bool:
+        """Note use that no call has told; whether it is to be reported, and not just with a next call."""
+        customer.pending += units
+        return units <= customer.share or customer.pending > UNTOLD * customer.gap.cap
 
     def next_call(self, customer: Customer, now: int) -> int | None:
         """When this customer's use is to be reported: its due time, or none while a call is planned."""
         if not self.settings.has_counter or customer.plan.rate <= 0:
             return None
         planned, customer.scheduled = customer.scheduled, True
-        if customer.heard and customer.pending > QUANTUM * customer.share / self.asking:
+        if customer.heard and self.is_due(customer):
             return now
         if planned:
             return None
         return now + int(REPORT_PERIOD_NS / self.asking * (0.75 + 0.5 * self.rng.random()))
 
-    def call(self, customer: Customer, now: int) -> list[io.Action]:
-        """A call for this customer, unless one is still out."""
+    def call(self, customer: Customer, now: int, repair: float = 0.0) -> list[io.Action]:
+        """A call for this customer, unless one is still out; ``repair`` puts a wrong count right."""
         customer.scheduled = False
         # Guards against ever more calls for customers seen once, each turned away and made again: what was
         # used so long ago that the store has refilled since is no news.
         if (now - customer.seen_at) * customer.plan.rate > customer.gap.cap * SECOND:
             customer.pending = min(0.0, customer.pending)
-        if customer.call is not None or not (customer.waiting or customer.pending or customer.elected):
+        if customer.call is not None or not (customer.waiting or customer.pending or repair):
             return []
         name, began = customer.count_name(now)
-        call = customer.call = self.calls[name] = Call(customer, began)
-        # Where only some are asked about, each stands for the others; those of a dry store are refused, and
-        # what is let in under a ceiling is all told.
-        weight = 1.0 if customer.dry or customer.ceiling is not None else 1.0 / self.asking
-        call.held = [(inflight, inflight.request.units * weight) for inflight in customer.waiting]
-        call.amount += sum(amount for _, amount in call.held)
-        customer.pending, customer.elected, customer.waiting = 0.0, 0.0, []
+        call = customer.call = self.calls[name] = Call(customer, began, repair)
+        customer.pending, customer.waiting = 0.0, []
         return [io.Count(name, call.amount, COUNT_KEEP_NS)]
 
-    def claim(self, customer: Customer, now: int) -> list[io.Action]:
-        """Stand for putting right what the last reading found wrong: the first to add to this name does.
+    def repair(self, customer: Customer, now: int) -> list[io.Action]:
+        """Put right what the last reading found wrong, unless this gateway has just done so.
 
-        Guards against all who see it at once doing so: their repairs, and what each takes back on seeing the
-        others', chase each other.  The name is forgotten once all that was read before the repair has ended.
+        Others may see the same fault and repair it too; all but the first undo theirs, see ``undo_repair``.
         """
-        if not customer.repair or now - customer.claimed_at < customer.claim_ns:
+        if not customer.repair or customer.call or now - customer.repaired_at < customer.repair_ns:
             return []
-        customer.claimed_at = now
-        digest = hashlib.blake2b(f"{customer.key} repair".encode(), digest_size=8).digest()
-        name = int.from_bytes(digest, "big") >> 1
-        self.claims[name] = customer, customer.repair
-        return [io.Count(name, 1.0, customer.claim_ns)]
-
-    def claimed(self, answer: io.Counted, now: int) -> list[io.Action]:
-        """Who was the first puts it right."""
-        customer, amount = self.claims.pop(answer.count)
-        heard = answer.status is io.Status.DELIVERED
-        self.steer(not heard or 2 * answer.elapsed_ns > self.settings.counter_wait_ns)
-        if heard and answer.level < 1.0 + 0.5:
-            customer.elected = amount
-            return self.call(customer, now)
-        return []
+        customer.repaired_at = now
+        return self.call(customer, now, customer.repair)
 
     def counted(
         self, answer: io.Counted, now: int
@@ -128,15 +149,17 @@
         customer.heard = answer.status is io.Status.DELIVERED
         self.steer(not customer.heard or 2 * answer.elapsed_ns > self.settings.counter_wait_ns)
         if customer.heard:
-            return customer, customer.reading(call, answer.level, self.asking, now)
+            self.answered_at = now
+            return customer, customer.reading(call, answer.level, now)
         if answer.status.never_ran:
             customer.pending += call.told
         verdicts = []
         for inflight, amount in call.held:
             units = inflight.request.units
             covered = customer.guess(units) and customer.unheard(units)
-            if not covered and not answer.status.never_ran:
-                customer.pending -= amount  # most likely added: a late counter works on what nobody waits for
+            added = 0.0 if answer.status.never_ran else amount
+            # Most likely added: a late counter works on what nobody waits for.
+            customer.pending += (units if covered else 0.0) - added
             verdicts.append((inflight, covered))
         return customer, verdicts
 
