Part client connections from the front end by a protocol, so that imports run one way

Cause: client.py imported frontend.py for types and frontend.py imports client.py.

Change: client_owner.py holds the protocol of what a connection needs of its owner; Frontend fulfils it, and a connection tells it, not its runtime, that a client has left.

--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -7,17 +7,15 @@
 import select
 import socket
 from collections import deque
-from typing import TYPE_CHECKING, cast
+from typing import cast
 
 import httptools
 
 from gingerworks.gateway import clock, numerals
 from gingerworks.gateway.backend import Answer
+from gingerworks.gateway.client_owner import ClientOwner
 from gingerworks.gateway.requests import BODY_BYTES, HEAD_BYTES, Message, Refusal
 
-if TYPE_CHECKING:
-    from gingerworks.gateway.frontend import Frontend
-
 MESSAGE_BYTES = HEAD_BYTES + 8 * BODY_BYTES  # small chunks frame every byte with six more
 PIPELINED = 1  # requests read ahead on one connection; one that sends more is not read meanwhile
 REQUEST_NS = (
@@ -40,8 +38,8 @@
 class ClientConnection(asyncio.BufferedProtocol):
     """One connection of a client; one request at a time is held."""
 
-    def __init__(self, frontend: Frontend, sock: socket.socket) -> None:
-        self.frontend = frontend
+    def __init__(self, owner: ClientOwner[ClientConnection], sock: socket.socket) -> None:
+        self.owner = owner
         self.socket = sock
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
@@ -62,17 +60,17 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Transport's callback."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's has no such base
-        self.frontend.attached()
+        self.owner.attached()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Transport's callback: whoever waited here has gone."""
         self.transport = None
         self.ready.clear()
         if self.number is not None:
-            self.frontend.runtime.cancelled(self.number)
+            self.owner.cancelled(self.number)
             self.number = None
         self._release()
-        self.frontend.forget(self)
+        self.owner.forget(self)
 
     def pause_writing(self) -> None:
         """Transport's callback.  Guards against piling up answers that the client does not read."""
@@ -85,7 +83,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Transport's callback.  Little is read at a time, so that many who write ahead pile up little."""
-        return self.frontend.buffer
+        return self.owner.buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Transport's callback."""
@@ -93,7 +91,7 @@
             return
         fresh, self.begun = not self.reading, 0
         try:
-            self.parser.feed_data(self.frontend.buffer[:nbytes])
+            self.parser.feed_data(self.owner.buffer[:nbytes])
         except httptools.HttpParserCallbackError as fault:
             cause = fault.__context__
             self._refuse(cause if isinstance(cause, Refusal) else Refusal(400, "malformed"))
@@ -155,7 +153,7 @@
         """Parser's callback."""
         if len(self.message.body) + len(body) > BODY_BYTES:
             raise Refusal(413, "the body is too large")
-        if not self.frontend.store(len(body)):
+        if not self.owner.store(len(body)):
             raise Refusal(503, "too much is held already")
         self.stored += len(body)
         self.message.body += body
@@ -176,12 +174,12 @@
                 return
             message = self.ready.popleft()
             self.asked = True
-            self.frontend.busy(self)
+            self.owner.busy(self)
             try:
                 if isinstance(message, Refusal):
                     raise message
                 self.keep_alive = message.keep_alive
-                self.number = self.frontend.take(self, message)
+                self.number = self.owner.take(self, message)
             except Refusal as refusal:
                 # Guards against a client that sends the same again and again: it has to connect again, too.
                 self.keep_alive = False
@@ -217,7 +215,7 @@
         self.number = None
         self._answer(status, body, headers)
         if self.ready:
-            self.frontend.loop.call_soon(self._next)
+            self.owner.loop.call_soon(self._next)
 
     def _answer(self, status: int, body: bytes, headers: bytes = b"") -> None:
         self.since = clock.now()
@@ -225,7 +223,7 @@
             self._release()
         if self.transport is None:
             return
-        keep = self.keep_alive and not (self.frontend.ending and self._said_all())
+        keep = self.keep_alive and not (self.owner.ending and self._said_all())
         self.transport.write(
             b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b%b\r\n%b"
             % (
@@ -239,14 +237,14 @@
         )
         if keep:
             if not self.ready:
-                self.frontend.rest(self)
+                self.owner.rest(self)
             return
         self.leaving = True
-        self.frontend.leave(self)
+        self.owner.leave(self)
         if self.deaf:
             # Guards against a reset that overtakes the answer, as a close with data unread brings.
             self.transport.write_eof()
-            self.frontend.loop.call_later(LINGER_S, self.transport.abort)
+            self.owner.loop.call_later(LINGER_S, self.transport.abort)
         else:
             self.transport.close()  # what was written is sent first
 
@@ -255,7 +253,7 @@
 
         Guards against dropping a request that was taken, as a client that writes ahead has several here.
         """
-        return not (self.ready or self.reading or (self.frontend.lasts() and self.unread()))
+        return not (self.ready or self.reading or (self.owner.lasts() and self.unread()))
 
     def left_unread(self) -> bool:
         """Whether the client has gone while a request of its waits that is held, or that it wrote ahead.
@@ -274,7 +272,7 @@
         return bool(ends.poll(0))
 
     def _release(self) -> None:
-        self.frontend.store(-self.stored)
+        self.owner.store(-self.stored)
         self.stored = 0
 
     def check_time(self, now: int) -> None:
--- a/gingerworks/gateway/frontend.py
+++ b/gingerworks/gateway/frontend.py
@@ -219,6 +219,10 @@
         request = self._checks.request(message)
         return self.runtime.taken(client, request, message.head(), message.body)
 
+    def cancelled(self, number: int) -> None:
+        """The client of a request that is not answered yet has gone."""
+        self.runtime.cancelled(number)
+
     def store(self, size: int) -> bool:
         """Count bytes of bodies that are held; false where that would be too many."""
         if size > 0 and self._stored + size > BODIES_BYTES:
