Hold a SIGHUP back until it has a handler, so that one during the start is followed

Cause: main ignored SIGHUP (__main__.py, first line of main) until serve had set the handlers. A new configuration that came between the read of the file and that moment was never followed: the gateway asked the former discovery for the rest of its life.

Change: main blocks the signal instead, and serve lets it through once the gateway has started; the kernel keeps it pending meanwhile.

--- a/gingerworks/gateway/__main__.py
+++ b/gingerworks/gateway/__main__.py
@@ -108,6 +108,7 @@
         loop.add_signal_handler(number, gateway.frontend.end)
     loop.add_signal_handler(signal.SIGHUP, gateway.reload, os.environ)
     gateway.start()
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that came since ``main`` is handled now
     loop.call_soon(_freeze)  # once discovery has been asked: its answer is waited for anyway
     await gateway.ended()
 
@@ -120,8 +121,8 @@
 
 def main() -> int:
     """Run one gateway."""
-    # Guards against a SIGHUP before there is anything to reread: the file is read right below.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Guards against losing a SIGHUP that comes as the file is read: it stays pending until it has a handler.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
         config = load(os.environ)
--- /dev/null
+++ b/tests/test_early_reload.py
@@ -0,0 +1,58 @@
+"""SIGHUP during a start: it ends no gateway, and what the file says by then is followed."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+from subprocess import Popen
+
+from tests.loopback import Peer, entry, raw_config, run, until
+from tests.test_gateway_reload import at, discovery
+
+ROOT = Path(__file__).parent.parent
+
+
+async def opened_by_reader(fifo: Path) -> int:
+    """A named pipe's writing end, once somebody has opened it to read."""
+    while True:
+        try:
+            return os.open(fifo, os.O_WRONLY | os.O_NONBLOCK)
+        except OSError as fault:
+            if fault.errno != errno.ENXIO:
+                raise
+            await asyncio.sleep(0.002)
+
+
+async def telling_discovery() -> Peer:
+    return await discovery(entry("a", ("127.0.0.1", 1)), index=3)
+
+
+def test_a_sighup_while_the_file_is_first_read_is_followed_once_the_gateway_runs(tmp_path: Path) -> None:
+    # It was ignored until the signals had their handlers: the gateway went on asking the former discovery.
+    async def scenario() -> None:
+        new, file, replacement = await telling_discovery(), tmp_path / "config.json", tmp_path / "new.json"
+        replacement.write_text(json.dumps(raw_config(discovery=at(new))))
+        os.mkfifo(file)  # which is read no further than the test writes
+        process = Popen(
+            [sys.executable, "-m", "gingerworks.gateway"],
+            env={**os.environ, "NODE_CONFIG": str(file)},
+            cwd=ROOT,
+        )
+        try:
+            reading = await opened_by_reader(file)
+            replacement.replace(file)
+            process.send_signal(signal.SIGHUP)
+            os.write(reading, json.dumps(raw_config()).encode())
+            os.close(reading)
+            await until(lambda: bool(new.requests))
+            assert new.requests[0] == b"/catalog/members?follow=1&since=0"
+        finally:
+            process.kill()
+            process.wait()
+
+    run(scenario())
