--- a/tests/test_early_reload.py
+++ b/tests/test_early_reload.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+import tomllib
 from pathlib import Path
 from subprocess import Popen
 
@@ -15,6 +16,15 @@
 from tests.test_gateway_reload import at, discovery
 
 ROOT = Path(__file__).parent.parent
+STARTS_WITH_SIGHUP = "import os, signal\nos.kill(os.getpid(), signal.SIGHUP)\n"
+
+
+def deployed(config: Path, **environment: str) -> Popen[bytes]:
+    """A gateway as the deploy file runs it."""
+    command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    command = command.replace(".venv/bin/python", sys.executable)
+    environment = {**os.environ, "NODE_CONFIG": str(config), **environment}
+    return Popen(["/bin/sh", "-c", command], env=environment, cwd=ROOT)
 
 
 async def opened_by_reader(fifo: Path) -> int:
@@ -38,11 +48,7 @@
         new, file, replacement = await telling_discovery(), tmp_path / "config.json", tmp_path / "new.json"
         replacement.write_text(json.dumps(raw_config(discovery=at(new))))
         os.mkfifo(file)  # which is read no further than the test writes
-        process = Popen(
-            [sys.executable, "-m", "gingerworks.gateway"],
-            env={**os.environ, "NODE_CONFIG": str(file)},
-            cwd=ROOT,
-        )
+        process = deployed(file)
         try:
             reading = await opened_by_reader(file)
             replacement.replace(file)
@@ -56,3 +62,20 @@
             process.wait()
 
     run(scenario())
+
+
+def test_a_sighup_while_the_interpreter_starts_ends_no_gateway(tmp_path: Path) -> None:
+    # Its modules take most of a start: a signal then ended the process, as nothing had asked to ignore it.
+    async def scenario() -> None:
+        agent, file = await telling_discovery(), tmp_path / "config.json"
+        file.write_text(json.dumps(raw_config(discovery=at(agent))))
+        (tmp_path / "sitecustomize.py").write_text(STARTS_WITH_SIGHUP)
+        process = deployed(file, PYTHONPATH=str(tmp_path))
+        try:
+            await until(lambda: bool(agent.requests) or process.poll() is not None)
+            assert process.poll() is None
+        finally:
+            process.kill()
+            process.wait()
+
+    run(scenario())
