Test lists of a thousand servers also with an entry a line, as the protocol page shows them

Cause: the test of long lists played them on one line and indented throughout, not in the form of the protocol page, which begins an object and its list on the first line.

--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -7,8 +7,9 @@
 import random
 import re
 import resource
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from itertools import cycle, islice
 from pathlib import Path
 from typing import Any
@@ -126,12 +127,22 @@
     return list(cut(chunks))
 
 
-FORMS = {"one line": None, "indented": 2, "indented wide": 8}
+def an_entry_a_line(message: dict[str, Any]) -> str:
+    """A message as the protocol page shows it."""
+    return json.dumps(message).replace('{"name"', '\n  {"name"')
 
 
-async def telling(message: dict[str, Any], indent: int | None, pieces: bool) -> Peer:
+FORMS: dict[str, Callable[[dict[str, Any]], str]] = {
+    "one line": json.dumps,
+    "an entry a line": an_entry_a_line,
+    "indented": partial(json.dumps, indent=2),
+    "indented wide": partial(json.dumps, indent=8),
+}
+
+
+async def telling(text: str, pieces: bool) -> Peer:
     """A discovery that tells of one change and then stays silent."""
-    told = json.dumps(message, indent=indent).encode() + b"\n"
+    told = text.encode() + b"\n"
 
     async def script(peer: Peer, reader: Reader, writer: Writer) -> None:
         peer.requests.append((await reader.readuntil(b"\r\n\r\n")).split()[1])
@@ -146,17 +157,20 @@
 
 
 @pytest.mark.parametrize("snapshot", [True, False], ids=["snapshot", "delta"])
-@pytest.mark.parametrize("indent", FORMS.values(), ids=FORMS.keys())
+@pytest.mark.parametrize("form", FORMS.values(), ids=FORMS.keys())
 @pytest.mark.parametrize("pieces", [False, True], ids=["at once", "in pieces"])
 def test_a_list_of_a_thousand_servers_is_heard_and_served_from(
-    snapshot: bool, indent: int | None, pieces: bool, monkeypatch: pytest.MonkeyPatch
+    snapshot: bool,
+    form: Callable[[dict[str, Any]], str],
+    pieces: bool,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(discovery, "SILENCE_S", 1e6)  # nothing more is told
 
     async def scenario() -> None:
         peers = [await answering(OK) for _ in range(LISTENERS)]
         servers = entries(peers)
-        agent = await telling(listing(*servers, index=2, snapshot=snapshot), indent, pieces)
+        agent = await telling(form(listing(*servers, index=2, snapshot=snapshot)), pieces)
         made = gateway(discovery=f"{agent.address[0]}:{agent.address[1]}")
         await until(lambda: len(list(made.backends.listed())) == COUNT)
         assert [one.name for one in made.backends.listed()] == [one["name"] for one in servers]
