Keep the budget of guesses above nothing where requests are worth nothing

Found by reading; the settings allow such worth and prices. The least budget is a sliver now. The test fails without it with ZeroDivisionError.

--- a/gingerworks/policy/guesses.py
+++ b/gingerworks/policy/guesses.py
@@ -144,7 +144,7 @@
     def sent(self, worth: float) -> None:
         """A request was sent on: what guesses may cost grows with it."""
         self._mean_worth.add(worth)
-        self._budget.resize(OVERRUN_BURST * self._mean_worth.value)
+        self._budget.resize(max(SLIVER, OVERRUN_BURST * self._mean_worth.value))
         self._budget.refill(OVERRUN_SHARE * worth)
 
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -13,7 +13,7 @@
 from gingerworks.policy.constants import SLIVER
 from gingerworks.policy.customer import Call, Customer
 from gingerworks.policy.quotas import LEAST_ASKING, Quotas
-from tests.support import MS, SECOND, kinds, listing, request, served, server, settings, started
+from tests.support import MS, SECOND, SMALL, kinds, listing, request, served, server, settings, started
 
 DELIVERED, EXPIRED, SHED = io.Status.DELIVERED, io.Status.EXPIRED, io.Status.SHED
 
@@ -563,6 +563,20 @@
     assert "Count" not in actions
 
 
+@pytest.mark.parametrize("asking", [0.1, 0.9, 1.0])
+def test_requests_worth_nothing_and_overruns_that_cost_nothing_are_decided_like_others(asking: float) -> None:
+    plans = (replace(SMALL, price=0.0), replace(SMALL, name="free of cost", overrun_cost=0.0))
+    policy, totals = started(server("s1"), plans=plans), Counts()
+    sent = dict.fromkeys((plan.name for plan in plans), 0)
+    for number in range(300):
+        plan = plans[number % 2].name
+        policy.quotas.asking = policy.quotas.keeps_up = asking
+        ask = request(number, plan=plan, customer="c", entries=50)
+        sent[plan] += settle(policy, number * 20 * MS, policy.handle(number * 20 * MS, [ask]), totals)
+    assert sent["small"] > 5
+    assert sent["free of cost"] > 5
+
+
 def test_a_call_tells_what_was_let_in_and_stands_for_nothing_else() -> None:
     # After a few late answers one request stood for ten that had been refused, and emptied the store for all.
     for plan in ("small", "capped"):
