--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -139,8 +139,6 @@
     worth: float
     offered: bool
     tries: int = 0
-    served: bool = False
-    retry_after_ns: int = 0
 
 
 @dataclass
@@ -158,7 +156,6 @@
     first_tries: int = 0
     calls: int = 0
     calls_unanswered: int = 0
-    beyond_by: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
     served_by: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
     offered_by: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
 
@@ -385,7 +382,6 @@
         else:
             result.units_beyond += ask.units
             result.overrun += ask.worth * tenant.plan.overrun_cost
-            result.beyond_by[tenant.plan.name] += ask.worth * tenant.plan.overrun_cost
 
     def declined(self, now: int, ask: Ask, retry_after_ns: int) -> None:
         result, day = self.result, self.day
