Hold every request of a shutdown to one deadline ahead of SIGKILL

Reproduced on virtual time with real connections and servers that hang: a request that comes 0.9 s after SIGTERM on a connection accepted before the listener closed is answered 1.88 s after SIGTERM, with a longest deadline of 1 s SIGKILL may come at 1.7 s.

Cause: nothing knew when SIGKILL may come. Runtime.taken gave each request its full deadline however late it came; Frontend._maybe_stop accepted for 2 s and for as long as the table was full, Frontend.lasts kept connections for 2 s, both whatever the settings' deadlines are. The same holds for classes whose deadline is over 3 s, whenever they came, and for attempts that still waited for their connection. Beside it, Frontend._give_up ended the process half a second after the last answer, under clients that were still taking theirs, and in silence under those that had sent half a request. Ruled out: the retry budget, the counter's wait and hedges (the module ends each request by its deadline), reloads, a second SIGTERM.

Change: GracefulShutdown (gateway/shutdown.py) is the state machine of the shutdown; its times are fixed at SIGTERM from the settings, on the monotonic clock: answers are due 0.25 s and the exit 0.1 s before SIGKILL. The module is told (ShutdownStarted) and holds the deadlines of all requests, open or still to come, to it; attempts tell no more time and begin no later (Connection.connected); a request that the shutdown leaves less than its class's aim is refused at once with Retry-After and not forwarded. Clients with half a request are told 503 instead of being closed on, slow ones have until the exit to take their answers.

tests/test_shutdown_deadline.py: 42 cases pass. The end's other tests hold as they were, with the new names.

--- a/gingerworks/gateway/backend.py
+++ b/gingerworks/gateway/backend.py
@@ -109,8 +109,9 @@
         # Guards against new work for a server that drained, went or restarted while this was connecting, and
         # for one to which a busy loop saw it come up too late: a keyed request is allowed to come
         # within the time of a dial, which still lies in its window.
-        late = clock.now() - self.attempt.begun > self.backends.connect_s * clock.NS_PER_S
-        if late or not self.backends.takes_work(self.endpoint):
+        now = clock.now()
+        late = now - self.attempt.begun > self.backends.connect_s * clock.NS_PER_S
+        if late or now >= self.attempt.until or not self.backends.takes_work(self.endpoint):
             return self.backends.end(self, io.Status.DIAL_FAILED)
         return self.write()
 
--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -253,7 +253,7 @@
 
         Guards against dropping a request that was taken, as a client that writes ahead has several here.
         """
-        return not (self.ready or self.reading or (self.owner.lasts() and self.unread()))
+        return not (self.ready or self.reading or (self.owner.reads_on() and self.unread()))
 
     def left_unread(self) -> bool:
         """Whether the client has gone while a request of its waits that is held, or that it wrote ahead.
@@ -292,6 +292,15 @@
         elif waited >= (IDLE_NS if self.asked else REQUEST_NS) and not self.unread():
             transport.close()
 
+    def refuse_unfinished(self) -> None:
+        """Refuse a request that has not come whole, as its rest would come too late.
+
+        Guards against refusing one whose rest has come: it is read in the loop's next turn.
+        """
+        if self.reading and self.number is None and not self.leaving and not self.unread():
+            self._refuse(Refusal(503, "shutting down: send it to another gateway"))
+            self._next()
+
     def unsent(self) -> bool:
         """Whether a part of an answer waits for the client to read."""
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
--- a/gingerworks/gateway/client_owner.py
+++ b/gingerworks/gateway/client_owner.py
@@ -52,5 +52,5 @@
     def store(self, size: int) -> bool:
         """Count ``size`` more bytes of bodies that are held; false where that would be too many."""
 
-    def lasts(self) -> bool:
+    def reads_on(self) -> bool:
         """While ending: whether what a connection still holds is waited for."""
--- a/gingerworks/gateway/frontend.py
+++ b/gingerworks/gateway/frontend.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from itertools import islice
 from typing import Any
 
@@ -15,6 +15,7 @@
 from gingerworks.gateway.config import Address
 from gingerworks.gateway.requests import Checks, Message, Refusal
 from gingerworks.gateway.runtime import Runtime
+from gingerworks.gateway.shutdown import GracefulShutdown, ShutdownPhase
 
 HEALTH = b"/_health"
 BACKLOG = 4096
@@ -25,9 +26,7 @@
 ACCEPT_PAUSE_S = 0.02
 GRACE_NS = 50 * clock.NS_PER_MS  # for a new client to ask, or one that leaves to read why, when room is short
 CHECK_S = 0.2  # between looks for clients that have been silent for too long
-QUIET_S = 0.6  # while ending: no new connection for so long means that no more will come
-ACCEPT_MOST_S = 2.0
-LAST_S = 0.5  # ... and for clients to take the last answers, or to finish what they have begun to send
+UNFINISHED_S = 0.5  # at shutdown: for clients to finish a request that they have begun to send
 
 log = logging.getLogger(__name__)
 
@@ -41,7 +40,6 @@
         """At most ``budget`` connections are open at once; further ones wait until one has ended."""
         self.loop = loop
         self.runtime = runtime
-        self.ending = False
         self.finished = asyncio.Event()
         self.buffer = memoryview(bytearray(READ_BYTES))  # shared: what is in it is parsed at once
         self._checks = Checks(settings)
@@ -57,8 +55,8 @@
         self._accepting: set[asyncio.Task[Any]] = set()
         self._listener: socket.socket | None = None
         self._reading = False
-        self._ended_at = self._last_accept = 0
-        self._last_call: asyncio.TimerHandle | None = None
+        self._shutdown = GracefulShutdown(settings.classes)
+        self._refuse_unfinished: asyncio.TimerHandle | None = None
 
     def listen(self, address: Address) -> None:
         """Listen on this address only; who connects stays in the backlog until ``accept``."""
@@ -114,7 +112,7 @@
         client = ClientConnection(self, sock)
         self._clients.add(client)
         self._new[client] = None
-        self._last_accept = client.since
+        self._shutdown.accepted(client.since)
         if self._check is None:
             self._check = self.loop.call_later(CHECK_S, self._check_times)
         self._start(client, self.loop.connect_accepted_socket(lambda: client, sock))
@@ -230,15 +228,26 @@
         self._stored += size
         return True
 
+    @property
+    def ending(self) -> bool:
+        """Whether the graceful shutdown has begun."""
+        return self._shutdown.started
+
     def end(self) -> None:
-        """Begin the graceful end: take what still comes, answer all, then set ``finished``."""
-        if self.ending:
+        """Begin the graceful shutdown: take what still comes, answer all in time, then set ``finished``."""
+        if self._shutdown.started:
             return
-        self.ending = True
-        self._ended_at = self._last_accept = clock.now()
+        now = clock.now()
+        schedule = self._shutdown.start(now)
+        self.runtime.begin_shutdown(schedule.answers_due_ns)
         self._resume()  # whoever waits for a start that is not over has no later one to wait for
         self._close_idle()
-        self.loop.call_later(QUIET_S, self._maybe_stop)
+        self._after(self._shutdown.accepts_for_ns(now), self._close_listener)
+        self._after(schedule.answers_due_ns - now, self._answers_due)
+        self._after(schedule.exit_due_ns - now, self._finish)
+
+    def _after(self, delay_ns: int, callback: Callable[[], None]) -> None:
+        self.loop.call_later(delay_ns / clock.NS_PER_S, callback)
 
     def _close_idle(self) -> None:
         for client in [*self._new, *self._idle]:
@@ -246,44 +255,65 @@
             if client.transport is not None and not client.reading and not client.unread():
                 client.transport.close()
 
-    def _maybe_stop(self) -> None:
-        now = clock.now()
-        quiet, over = self._last_accept + int(QUIET_S * 1e9), self._ended_at + int(ACCEPT_MOST_S * 1e9)
-        if now < min(quiet, over):
-            self.loop.call_later((min(quiet, over) - now) / 1e9 + 0.001, self._maybe_stop)
+    def _close_listener(self) -> None:
+        """Close the listener once new connections have ceased and nobody waits in the backlog."""
+        if self._listener is None:
+            return
+        wait_ns = self._shutdown.accepts_for_ns(clock.now())
+        if wait_ns:
+            self._after(wait_ns + clock.NS_PER_MS, self._close_listener)
             return
         if not self._accept():
             # Guards against resetting those in the backlog that one turn, or a full table, does not take in.
-            self.loop.call_later(ACCEPT_PAUSE_S, self._maybe_stop)
+            self.loop.call_later(ACCEPT_PAUSE_S, self._close_listener)
             return
-        self._pause()
-        assert self._listener is not None
-        self._listener.close()
-        self._listener = None
+        self._stop_listening()
         self._check_end()
 
+    def _stop_listening(self) -> None:
+        if self._listener is not None:
+            self._pause()
+            self._listener.close()
+            self._listener = None
+            self._shutdown.listener_closed()
+
     def attached(self) -> None:
         """A connection that was accepted can be read now."""
         if self.ending:
             self._check_end()
 
-    def lasts(self) -> bool:
+    def reads_on(self) -> bool:
         """While ending: whether what a connection still holds is waited for."""
-        return clock.now() < self._ended_at + int(ACCEPT_MOST_S * 1e9)
+        return self._shutdown.reads_on(clock.now())
 
     def _check_end(self) -> None:
-        if self._listener is None:
-            self._close_idle()
-            if not self._clients:
-                self.finished.set()
-            elif self._last_call is None and not any(client.number for client in self._clients):
-                self._last_call = self.loop.call_later(LAST_S, self._give_up)
-
-    def _give_up(self) -> None:
-        """Guards against a client that never reads its answer, or never ends its request."""
-        self._last_call = None
-        if any(client.unread() for client in self._clients):
-            # Guards against ending on a request that has come: it is read in the loop's next turns.
-            self._last_call = self.loop.call_later(ACCEPT_PAUSE_S, self._give_up)
-        elif not any(client.number for client in self._clients):
-            self.finished.set()
+        """Once the listener is closed: end as soon as nobody is left, and wait for nobody in vain."""
+        if self._listener is not None:
+            return
+        self._close_idle()
+        if not self._clients:
+            self._finish()
+        elif self._refuse_unfinished is None and not any(client.number for client in self._clients):
+            self._refuse_unfinished = self.loop.call_later(UNFINISHED_S, self._refuse_half_read)
+
+    def _refuse_half_read(self) -> None:
+        """Guards against a client that never ends its request; what it sends on meanwhile finds an answer."""
+        self._refuse_unfinished = None
+        for client in list(self._clients):
+            client.refuse_unfinished()
+        self._check_end()
+
+    def _answers_due(self) -> None:
+        """Every request has its answer by now; what comes until the exit is refused as it is read."""
+        if self._shutdown.phase is ShutdownPhase.FINISHED:
+            return
+        self._shutdown.answers_due()
+        for client in list(self._clients):
+            client.refuse_unfinished()
+        self._close_idle()
+        self.loop.call_later(ACCEPT_PAUSE_S, self._answers_due)
+
+    def _finish(self) -> None:
+        self._stop_listening()
+        self._shutdown.finish()
+        self.finished.set()
--- a/gingerworks/gateway/runtime.py
+++ b/gingerworks/gateway/runtime.py
@@ -73,6 +73,7 @@
         self._serial = 0
         self._events: list[io.Event] = []
         self._planned = False
+        self._answers_due: int | None = None  # from the start of the shutdown on
         # Requests that may be forgotten once the module has been told of their end.
         self._done: list[int] = []
         self._perform: dict[type, Callable[..., None]] = {
@@ -127,6 +128,15 @@
         )
         return number
 
+    def begin_shutdown(self, answers_due_ns: int) -> None:
+        """The gateway shuts down: requests have their answers by then, and no attempt begins later."""
+        self._answers_due = answers_due_ns
+        for inflight in self._in_flight.values():
+            for attempt in inflight.attempts:
+                if attempt is not None:
+                    attempt.until = min(attempt.until, answers_due_ns)
+        self._post(io.ShutdownStarted(answers_due_ns))
+
     def cancelled(self, number: int) -> None:
         """The client has gone."""
         inflight = self._in_flight.get(number)
@@ -188,6 +198,8 @@
         self._done.clear()
         self._policy = Policy(self._rng.getrandbits(64), self._config.settings, clock.now())
         self._post(io.ServersChanged(io.ListMode.CACHED, tuple(self._backends.listed())))
+        if self._answers_due is not None:
+            self._post(io.ShutdownStarted(self._answers_due))
 
     def _fail(self, number: int, inflight: InFlight) -> None:
         if inflight.open:
--- /dev/null
+++ b/gingerworks/gateway/shutdown.py
@@ -0,0 +1,106 @@
+"""The graceful shutdown: its phases, and the times by which requests are answered and the process ends.
+
+The supervisor sends SIGKILL a known time after SIGTERM, and a request that is still open then is lost.  All
+times are therefore fixed at the moment of SIGTERM, from the settings and on the gateway's own clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+from gingerworks import interface as io
+from gingerworks.gateway import clock
+
+LONGEST_DEADLINE_NS = 3 * clock.NS_PER_S  # counted by the supervisor, however long the settings' own are
+KILL_DELAY_NS = 700 * clock.NS_PER_MS  # after the longest deadline: SIGKILL comes no sooner
+HELD_UP_NS = 150 * clock.NS_PER_MS  # for so long a gateway may be held up between its clock and a write
+EXIT_MARGIN_NS = 100 * clock.NS_PER_MS  # before SIGKILL: for the process to end, its sockets with it
+QUIET_NS = 600 * clock.NS_PER_MS  # without a new connection: no more will come
+ACCEPT_MOST_NS = 2 * clock.NS_PER_S  # new connections are taken in for so long at the most
+
+
+class ShutdownPhase(Enum):
+    """How far the shutdown has come."""
+
+    SERVING = "no SIGTERM has come"
+    ACCEPTING = "new connections are still taken in, idle ones are closed"
+    DRAINING = "the listener is closed, what is open is answered"
+    CLOSING = "the answers are due: whatever still comes is refused at once"
+    FINISHED = "the process ends"
+
+
+@dataclass(frozen=True, slots=True)
+class ShutdownSchedule:
+    """The times of one shutdown, in nanoseconds of the gateway's clock."""
+
+    started_ns: int
+    accept_until_ns: int
+    answers_due_ns: int
+    exit_due_ns: int
+
+    @classmethod
+    def starting_at(cls, started_ns: int, classes: Iterable[io.RequestClass]) -> ShutdownSchedule:
+        """The schedule of a shutdown that starts now, for requests of these classes."""
+        longest_ns = min(LONGEST_DEADLINE_NS, max(kind.deadline_ns for kind in classes))
+        exit_due_ns = started_ns + longest_ns + KILL_DELAY_NS - EXIT_MARGIN_NS
+        answers_due_ns = exit_due_ns - HELD_UP_NS
+        accept_until_ns = min(started_ns + ACCEPT_MOST_NS, answers_due_ns)
+        return cls(started_ns, accept_until_ns, answers_due_ns, exit_due_ns)
+
+
+class GracefulShutdown:
+    """The state machine of the shutdown; the front end owns it and carries out what a phase asks for."""
+
+    def __init__(self, classes: Iterable[io.RequestClass]) -> None:
+        self.phase = ShutdownPhase.SERVING
+        self._classes = tuple(classes)
+        self._schedule: ShutdownSchedule | None = None
+        self._last_accept_ns = 0
+
+    @property
+    def started(self) -> bool:
+        """Whether SIGTERM has come."""
+        return self.phase is not ShutdownPhase.SERVING
+
+    @property
+    def schedule(self) -> ShutdownSchedule:
+        """The times of this shutdown; only once it has started."""
+        assert self._schedule is not None, "the shutdown has not started"
+        return self._schedule
+
+    def start(self, now_ns: int) -> ShutdownSchedule:
+        """SIGTERM has come for the first time."""
+        assert self.phase is ShutdownPhase.SERVING
+        self.phase = ShutdownPhase.ACCEPTING
+        self._schedule = ShutdownSchedule.starting_at(now_ns, self._classes)
+        self._last_accept_ns = now_ns
+        return self._schedule
+
+    def accepted(self, now_ns: int) -> None:
+        """A new connection was taken in."""
+        self._last_accept_ns = now_ns
+
+    def accepts_for_ns(self, now_ns: int) -> int:
+        """How long new connections are still to be waited for; 0 once the listener may be closed."""
+        until_ns = min(self._last_accept_ns + QUIET_NS, self.schedule.accept_until_ns)
+        return max(0, until_ns - now_ns)
+
+    def listener_closed(self) -> None:
+        """Nobody new can come any more."""
+        if self.phase is ShutdownPhase.ACCEPTING:
+            self.phase = ShutdownPhase.DRAINING
+
+    def answers_due(self) -> None:
+        """The time for answers is over."""
+        if self.phase is not ShutdownPhase.FINISHED:
+            self.phase = ShutdownPhase.CLOSING
+
+    def finish(self) -> None:
+        """Nothing is owed to anybody any more, or the process has to end."""
+        self.phase = ShutdownPhase.FINISHED
+
+    def reads_on(self, now_ns: int) -> bool:
+        """Whether further requests on a connection are waited for, if only to be refused."""
+        return now_ns < self.schedule.exit_due_ns
--- a/gingerworks/interface.py
+++ b/gingerworks/interface.py
@@ -257,6 +257,13 @@
     id: int
 
 
+@dataclass(frozen=True, slots=True)
+class ShutdownStarted:
+    """The gateway shuts down: each request, open or still to come, is answered by ``answers_due_ns``."""
+
+    answers_due_ns: int
+
+
 @dataclass(frozen=True, slots=True)
 class Timer:
     """A timer set by ``Wake`` is due.  One not asked for only makes the module look at its agenda."""
@@ -284,7 +291,17 @@
     elapsed_ns: int
 
 
-Event = ServersChanged | Request | Started | Outcome | RequestCancelled | Timer | Probed | Counted
+Event = (
+    ServersChanged
+    | Request
+    | Started
+    | Outcome
+    | RequestCancelled
+    | ShutdownStarted
+    | Timer
+    | Probed
+    | Counted
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/gingerworks/policy/driver.py
+++ b/gingerworks/policy/driver.py
@@ -42,6 +42,7 @@
         self.told: set[str] = set()
         self.serial = 0
         self.armed: int | None = None
+        self.shutdown_deadline: int | None = None  # answers are due by then
         self.now = now
         self.actions: list[io.Action] = []
         if settings.discovery_on_request:
@@ -76,6 +77,8 @@
                     self.plan_next(again, lambda: self.actions.append(io.Watch()))
             case io.RequestCancelled():
                 self.close(self.in_flight.get(event.id))
+            case io.ShutdownStarted():
+                self.begin_shutdown(event.answers_due_ns)
             case io.Started():
                 if inflight := self.in_flight.get(event.id):
                     inflight.streaming = True  # no deadline runs any more, and no further attempt helps
@@ -112,9 +115,33 @@
                 self.told ^= {text}
                 self.actions.append(io.Log(text if holds else f"over: {text}"))
 
+    def begin_shutdown(self, answers_due_ns: int) -> None:
+        """Hold the deadlines of all requests, open or still to come, to that of the shutdown."""
+        self.shutdown_deadline = answers_due_ns
+        for inflight in self.in_flight.values():
+            if inflight.deadline > answers_due_ns:
+                inflight.deadline = answers_due_ns
+                self._plan_finish(inflight)
+
+    def _plan_finish(self, inflight: InFlight[Customer]) -> None:
+        """See to it that a request has its answer a tick before its deadline."""
+        due = max(self.now, inflight.deadline - self.settings.tick_ns)
+        self.plan_next(due, lambda: self.finish(inflight))
+
+    def _shutdown_comes_first(self, inflight: InFlight[Customer]) -> bool:
+        """Whether the shutdown leaves a request less time than an answer worth waiting for may take.
+
+        Another gateway can still answer it within its aim, if it is refused at once.
+        """
+        if self.shutdown_deadline is None or inflight.deadline < self.shutdown_deadline:
+            return False
+        return inflight.deadline - self.now < inflight.kind.aim_ns
+
     def request(self, request: io.Request) -> None:
         """Admit or refuse a request, at once."""
         inflight = self._begin(request)
+        if self._shutdown_comes_first(inflight):
+            return self.decline(inflight, 0)
         customer, plan, units = inflight.customer, inflight.customer.plan, request.units
         inside = self.quotas.verdict(inflight, self.now)
         if inside is False and plan.excess_worth <= plan.overrun_cost:
@@ -126,8 +153,7 @@
             inside = None
         if self._sheds(inflight):
             return self.decline(inflight, self.settings.limits.max_retry_after_ns)
-        due = max(self.now, inflight.deadline - self.settings.tick_ns)
-        self.plan_next(due, lambda: self.finish(inflight))
+        self._plan_finish(inflight)
         if inside is None:
             customer.waiting.append(inflight)
             self.actions += self.quotas.call(customer, self.now)
@@ -145,6 +171,8 @@
             raise ValueError(f"request {request.id}: unknown class or plan")
         kind, customer = self.kinds[request.class_name], self.quotas.customer(request, self.now)
         inflight = self.in_flight[request.id] = InFlight(request, kind, customer, self.now)
+        if self.shutdown_deadline is not None:
+            inflight.deadline = min(inflight.deadline, self.shutdown_deadline)
         return inflight
 
     def _sheds(self, inflight: InFlight[Customer]) -> bool:
--- a/tests/test_gateway_clients.py
+++ b/tests/test_gateway_clients.py
@@ -219,8 +219,8 @@
         server = await answering(OK)
         made = gateway(server.address)
         client = await Client.to(made)
-        made.frontend.ending = True
         client.writer.write(ask("odd") + ask())
+        made.frontend.end()  # before it is read
         assert (await client.answer())[0] == 404
         assert await client.reader.read() == b""
         assert made.runtime._serial == 0
--- a/tests/test_gateway_end.py
+++ b/tests/test_gateway_end.py
@@ -50,8 +50,8 @@
 def stop_now(made: Gateway) -> None:
     """SIGTERM, and at once the moment at which the listener would be closed."""
     made.frontend.end()
-    made.frontend._ended_at = made.frontend._last_accept = 0
-    made.frontend._maybe_stop()
+    made.frontend._shutdown.accepted(0)  # long ago
+    made.frontend._close_listener()
 
 
 def test_all_who_wait_in_the_backlog_are_taken_in_before_the_listener_closes() -> None:
@@ -107,9 +107,9 @@
         client.writer.write(ask())
         await until(lambda: bool(server.requests))
         made.frontend.end()
-        began = made.frontend._ended_at
+        schedule = made.frontend._shutdown.schedule
         made.frontend.end()
-        assert made.frontend._ended_at == began
+        assert made.frontend._shutdown.schedule is schedule
         release.set()
         assert (await client.answer())[0] == 200
         await made.ended()
@@ -122,7 +122,7 @@
 ) -> None:
     # Without a transport it was passed over, and nobody looked again: the end waited for other bounds.
     monkeypatch.setattr(client_module, "REQUEST_NS", 1 << 62)
-    monkeypatch.setattr(frontend, "LAST_S", 1e6)
+    monkeypatch.setattr(frontend, "UNFINISHED_S", 1e6)
 
     async def scenario() -> None:
         made = gateway()
@@ -183,7 +183,7 @@
         await until(lambda: any(c.reading for c in made.frontend._clients))
         stop_now(made)
         os.write(client.writer.get_extra_info("socket").fileno(), request[50:])
-        made.frontend._give_up()  # before the loop turns again
+        made.frontend._refuse_half_read()  # before the loop turns again
         assert not made.frontend.finished.is_set()
         assert (await client.answer())[0] == 200
         await made.ended()
--- /dev/null
+++ b/tests/test_shutdown_deadline.py
@@ -0,0 +1,404 @@
+"""The shutdown deadline: what comes late after SIGTERM has its answer before SIGKILL; on virtual time.
+
+SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as 3 s at the most, and 0.7 s more.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import copy
+import itertools
+import re
+import socket
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+
+from gingerworks.gateway import clock
+from gingerworks.gateway.__main__ import Gateway
+from gingerworks.gateway.dial import Dial
+from tests import virtual_time
+from tests.loopback import SETTINGS, Peer, Reader, Writer, answering, ask, gateway, read_message
+
+KILL_DELAY_S = 0.7
+COUNTED_MOST_S = 3.0
+SLACK_S = 0.15  # of the time that an attempt tells its server
+UNIX_NS = 1_700_000_000 * clock.NS_PER_S
+
+
+@pytest.fixture(autouse=True)
+def virtual_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The gateway's clock shows the loop's virtual time."""
+    monkeypatch.setattr(
+        clock, "now", lambda: UNIX_NS + round(asyncio.get_running_loop().time() * clock.NS_PER_S)
+    )
+
+
+def now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def settings(deadline_s: float, aim_s: float = 0.1, **limits: Any) -> dict[str, Any]:
+    """The tests' settings with this deadline for both classes."""
+    changed = copy.deepcopy(SETTINGS)
+    for kind in changed["classes"]:
+        kind["hard-limit-ns"] = int(deadline_s * clock.NS_PER_S)
+        kind["on-time-ns"] = int(aim_s * clock.NS_PER_S)
+    changed["limits"] |= limits
+    return changed
+
+
+def play(scenario: Coroutine[Any, Any, None]) -> None:
+    """Run on virtual time; a scenario that hangs ends by running out of timers."""
+    virtual_time.run(scenario)
+
+
+async def hanging() -> Peer:
+    """A server that takes every request and answers none, all through the shutdown."""
+
+    async def script(peer: Peer, reader: Reader, writer: Writer) -> None:
+        while True:
+            peer.requests.append(await read_message(reader))
+
+    return await Peer(script).start()
+
+
+class Sender:
+    """A client that notes when it sent and what came back when."""
+
+    def __init__(self, reader: Reader, writer: Writer) -> None:
+        self.reader, self.writer = reader, writer
+        self.sent_s = 0.0
+        self.answered_s = 0.0
+
+    @classmethod
+    async def to(cls, made: Gateway) -> Sender:
+        return cls(*await asyncio.open_connection(*made.frontend.address))
+
+    def send(self, request: bytes) -> None:
+        self.sent_s = now_s()
+        self.writer.write(request)
+
+    async def answer(self) -> tuple[int, bytes]:
+        """Status and head; a connection that ends without an answer raises ``IncompleteReadError``."""
+        head = (await read_message(self.reader)).partition(b"\r\n\r\n")[0]
+        self.answered_s = now_s()
+        return int(head.split()[1]), head
+
+
+class Termination:
+    """SIGTERM to a gateway in this process, and the time at which SIGKILL would come."""
+
+    def __init__(self, made: Gateway, deadline_s: float) -> None:
+        self.made = made
+        self.at_s = now_s()
+        self.kill_s = self.at_s + min(deadline_s, COUNTED_MOST_S) + KILL_DELAY_S
+        made.frontend.end()
+
+    async def moment(self, seconds: float) -> None:
+        """Wait until so long after SIGTERM."""
+        await asyncio.sleep(self.at_s + seconds - now_s())
+
+    async def ended(self) -> None:
+        """Wait for the process's end, which has to come ahead of SIGKILL."""
+        await self.made.ended()
+        assert now_s() < self.kill_s
+
+
+def hold_up(dials: list[Dial]) -> Callable[[Dial], None]:
+    """Connections that have come up are noted, and their attempts hear of it later."""
+
+    def note(dial: Dial) -> None:
+        asyncio.get_running_loop().remove_writer(dial._socket.fileno())
+        dials.append(dial)
+
+    return note
+
+
+def hold_loop_until(seconds: float) -> None:
+    """The process is held up: time passes, and no timer has been looked at."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, virtual_time.VirtualLoop)
+    loop.virtual.skipped_s = seconds
+
+
+def told_s(request: bytes) -> float:
+    """The time left that an attempt told its server."""
+    match = re.search(rb"X-Time-Left: ([\d.]+)\r\n", request)
+    assert match is not None
+    return float(match[1])
+
+
+@pytest.mark.parametrize(
+    ("deadline_s", "late_s"),
+    [(0.4, 0.36), (0.4, 0.75), *itertools.product((1.0, 2.5, 3.0, 8.0), (0.36, 0.75, 0.9))],
+)
+@pytest.mark.parametrize("kind", ["look", "post"])
+def test_a_request_on_a_connection_opened_before_the_listener_closed_is_answered_in_time(
+    deadline_s: float, kind: str, late_s: float
+) -> None:
+    # The reported loss: it had its full deadline, however late it came, and its server hung.
+    async def scenario() -> None:
+        server = await hanging()
+        made = gateway(server.address, settings=settings(deadline_s))
+        made.frontend.accept()
+        termination = Termination(made, deadline_s)
+        await termination.moment(0.35)
+        late = await Sender.to(made)
+        await termination.moment(late_s)
+        late.send(ask(kind, left=f"{deadline_s:.3f}"))
+        status, head = await late.answer()
+        assert late.answered_s < termination.kill_s
+        assert status in (429, 502, 503)
+        assert status == 502 or b"Retry-After" in head
+        for request in server.requests:
+            assert late.sent_s + told_s(request) < termination.kill_s
+        await termination.ended()
+
+    play(scenario())
+
+
+@pytest.mark.parametrize("deadline_s", [1.0, 2.5])
+def test_each_request_that_a_client_goes_on_to_send_is_answered_in_time(deadline_s: float) -> None:
+    # A connection with more to read stays open, so that clients who write ahead are heard to the end.
+    async def scenario() -> None:
+        server = await hanging()
+        made = gateway(server.address, settings=settings(deadline_s))
+        made.frontend.accept()
+        sender = await Sender.to(made)
+        sent = answered = 0
+
+        async def write_ahead() -> None:
+            nonlocal sent
+            while True:
+                sender.send(ask("look", left=f"{deadline_s:.3f}"))
+                sent += 1
+                await asyncio.sleep(0.3)
+
+        writing = asyncio.create_task(write_ahead())
+        await asyncio.sleep(0.01)
+        termination = Termination(made, deadline_s)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                status, _ = await sender.answer()
+                assert status in (429, 502, 503)
+                answered += 1
+        writing.cancel()
+        assert now_s() < termination.kill_s
+        # What was read has its answer: at most what crossed the close on the wire has none.
+        assert answered == made.runtime._serial
+        await termination.ended()
+
+    play(scenario())
+
+
+def test_a_request_taken_before_sigterm_keeps_its_time_where_sigkill_leaves_it() -> None:
+    async def scenario() -> None:
+        server = await hanging()
+        made = gateway(server.address, settings=settings(1.0))
+        made.frontend.accept()
+        sender = await Sender.to(made)
+        sender.send(ask(left="1.000"))
+        await asyncio.sleep(0.01)
+        termination = Termination(made, 1.0)
+        status, _ = await sender.answer()
+        assert status == 503
+        assert 0.9 < sender.answered_s - sender.sent_s <= 1.0
+        await termination.ended()
+
+    play(scenario())
+
+
+def test_a_request_whose_deadline_is_longer_than_counted_is_answered_ahead_of_sigkill() -> None:
+    # Clients of a class with 8 s may wait so long, the supervisor counts 3 s.
+    async def scenario() -> None:
+        server = await hanging()
+        made = gateway(server.address, settings=settings(8.0))
+        made.frontend.accept()
+        sender = await Sender.to(made)
+        sender.send(ask("post", left="8.000"))
+        await asyncio.sleep(0.01)
+        termination = Termination(made, 8.0)
+        assert (await sender.answer())[0] == 502
+        assert termination.kill_s - 0.5 < sender.answered_s < termination.kill_s
+        await termination.ended()
+
+    play(scenario())
+
+
+def test_with_less_than_the_aim_left_a_request_is_refused_at_once_and_not_forwarded() -> None:
+    async def scenario() -> None:
+        server = await answering(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        made = gateway(server.address, settings=settings(1.0, aim_s=0.9))
+        made.frontend.accept()
+        termination = Termination(made, 1.0)
+        await termination.moment(0.05)
+        late = await Sender.to(made)
+        await termination.moment(0.65)
+        late.send(ask("post", left="1.000"))
+        status, head = await late.answer()
+        assert status == 429
+        assert b"Retry-After" in head
+        assert b"Connection: close" in head
+        assert late.answered_s - late.sent_s < 0.01
+        assert server.requests == []
+        await termination.ended()
+
+    play(scenario())
+
+
+def test_no_attempt_begins_after_the_answers_are_due() -> None:
+    # The connection comes up just then, and the request would go out on it.
+    async def scenario() -> None:
+        server = await answering(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        made = gateway(server.address, settings=settings(8.0))
+        made.frontend.accept()
+        dials: list[Dial] = []
+        sender = await Sender.to(made)
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Dial, "_writable", hold_up(dials))
+            sender.send(ask("post", left="8.000"))
+            await asyncio.sleep(0.01)
+            (dial,) = dials
+            termination = Termination(made, 8.0)
+        hold_loop_until(termination.kill_s - 0.2)
+        dial._writable()
+        assert (await sender.answer())[0] == 503
+        assert server.requests == []
+        await termination.ended()
+
+    play(scenario())
+
+
+def test_an_attempt_that_begins_after_sigterm_tells_no_more_than_the_shutdown_leaves() -> None:
+    async def scenario() -> None:
+        server = await hanging()
+        made = gateway(server.address, settings=settings(8.0))
+        made.frontend.accept()
+        sender = await Sender.to(made)
+        dials: list[Dial] = []
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Dial, "_writable", hold_up(dials))
+            sender.send(ask("post", left="8.000"))
+            await asyncio.sleep(0.01)
+            (dial,) = dials
+            termination = Termination(made, 8.0)
+        await termination.moment(0.5)
+        dial._writable()
+        assert (await sender.answer())[0] == 502
+        assert termination.at_s + 0.5 + told_s(server.requests[0]) < termination.kill_s
+        await termination.ended()
+
+    play(scenario())
+
+
+def test_who_waits_in_the_backlog_of_a_full_table_is_answered_before_sigkill() -> None:
+    async def scenario() -> None:
+        server = await hanging()
+        made = gateway(server.address, settings=settings(1.0), limits={"sockets": 64})
+        made.frontend.accept()
+        held = [await Sender.to(made) for _ in range(made.frontend._budget)]
+        for sender in held:
+            sender.send(ask(left="1.000"))
+        await asyncio.sleep(0.01)
+        termination = Termination(made, 1.0)
+        await termination.moment(0.35)
+        waiting = [await Sender.to(made) for _ in range(3)]
+        for sender in waiting:
+            sender.send(ask(left="1.000"))
+        for sender in [*held, *waiting]:
+            assert (await sender.answer())[0] in (429, 503)
+            assert sender.answered_s < termination.kill_s
+        await termination.ended()
+
+    play(scenario())
+
+
+def test_sigterm_before_the_first_accept_holds_to_the_same_deadline() -> None:
+    async def scenario() -> None:
+        server = await hanging()
+        made = gateway(server.address, settings=settings(1.0))  # discovery has not answered yet
+        sender = await Sender.to(made)
+        termination = Termination(made, 1.0)
+        await termination.moment(0.55)
+        sender.send(ask("post", left="1.000"))
+        assert (await sender.answer())[0] in (429, 502)
+        assert sender.answered_s < termination.kill_s
+        await termination.ended()
+
+    play(scenario())
+
+
+@pytest.mark.parametrize("deadline_s", [0.4, 1.0, 2.5])
+def test_a_client_that_stops_half_way_is_told_so_and_holds_nobody(deadline_s: float) -> None:
+    # The process ended under it in silence, though the rest may have come just then.
+    async def scenario() -> None:
+        made = gateway(settings=settings(deadline_s))
+        made.frontend.accept()
+        sender = await Sender.to(made)
+        sender.send(ask()[:60])
+        await asyncio.sleep(0.01)
+        termination = Termination(made, deadline_s)
+        status, head = await sender.answer()
+        assert status == 503
+        assert b"Retry-After" in head
+        assert sender.answered_s < termination.kill_s
+        await termination.ended()
+
+    play(scenario())
+
+
+def test_a_client_slow_to_take_its_answer_gets_it_whole() -> None:
+    # The end waited half a second for it, whatever was left until SIGKILL.
+    async def scenario() -> None:
+        body = b"a" * 60_000
+        server = await answering(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        made = gateway(server.address, settings=settings(2.5))
+        made.frontend.accept()
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, made.frontend.address)
+        await asyncio.sleep(0.01)
+        (client,) = made.frontend._clients
+        client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        sock.send(ask(left="2.500"))
+        while not client.unsent():
+            await asyncio.sleep(0.01)
+        termination = Termination(made, 2.5)
+        await termination.moment(1.5)
+        reader, writer = await asyncio.open_connection(sock=sock)
+        assert (await read_message(reader)).endswith(body)
+        writer.close()
+        await termination.ended()
+
+    play(scenario())
+
+
+def test_a_module_that_raises_during_the_shutdown_keeps_its_deadline(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        server = await hanging()
+        made = gateway(server.address, settings=settings(1.0))
+        made.frontend.accept()
+        termination = Termination(made, 1.0)
+        await termination.moment(0.2)
+        late = await Sender.to(made)
+        await termination.moment(0.3)
+
+        def fail(*_arguments: object) -> None:
+            raise RuntimeError("made up")
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(made.runtime._policy, "handle", fail)
+            made.runtime._turn()
+        await termination.moment(0.75)
+        late.send(ask("post", left="1.000"))
+        assert (await late.answer())[0] == 502
+        assert late.answered_s < termination.kill_s
+        await termination.ended()
+
+    play(scenario())
