Tell a dial that fails on this host from a peer that cannot be reached

Cause: dial.py knew one ending, so a dial that failed for want of descriptors, buffers, memory, ports or a route of this host (backend.py `_connect`, `Connection.connected`) came to DIAL_FAILED, for which policy/servers.py `_avoid_unreachable` leaves that server out for 1 s to 16 s: one short fault, or a full table of connections (`_connect`, the budget), made the whole fleet seem away. counter.py `_lost` doubled its pause up to 1 s for the same faults, and quotas.py `counted` asked less often (asking 1.0 to 0.24 by eight such calls). Any dial that failed at once closed the oldest idle connection (`_connect`), also where that frees nothing. An error of `add_writer`, `add_reader` or `getsockopt` left the callback with the socket open.

Change: `Dial` has two callbacks and a typed `DialError` (LOCAL or UNREACHABLE); `system_errors.py` holds which errno belongs where, and why, and what an operator can do. A local failure ends the attempt as UNUSED ("never sent"), which the policy holds against nobody; like DIAL_FAILED it now costs no retry budget. Only for descriptors is an idle connection closed. A counter's call comes to UNUSED, the next dial follows after 25 to 75 ms each time, and such calls do not steer how often others are made.

Ruled out: a refusal by the kernel on loopback is no error of connect itself here, so it closed no idle connection (the test of it passes on the old code). An attempt that is never sent runs nowhere: the servers saw no request.

--- a/gingerworks/gateway/backend.py
+++ b/gingerworks/gateway/backend.py
@@ -12,9 +12,10 @@
 
 from gingerworks import interface as io
 from gingerworks.gateway import clock, numerals
-from gingerworks.gateway.dial import Dial
+from gingerworks.gateway.dial import Dial, DialError, DialFailure
 from gingerworks.gateway.discovery import Change, Endpoint
 from gingerworks.gateway.staleness import AT_ONCE_NS, Staleness
+from gingerworks.gateway.system_errors import DESCRIPTOR_SHORTAGE
 
 IDLE_SHARE = 0.4  # of the time after which a server closes an idle connection at the latest
 BODY_BYTES = 64 * 1024
@@ -93,8 +94,8 @@
         self.begun = self.complete = self.keep_alive = self.framed = self.until_closed = False
         self.stall: asyncio.TimerHandle | None = None
         self.dial: Dial | None = Dial(
-            backends.loop, endpoint.address, backends.connect_s, self.connected
-        )  # raises OSError where it fails at once
+            backends.loop, endpoint.address, backends.connect_s, self.connected, self.not_connected
+        )  # raises DialError where it fails at once
 
     def connected(self, sock: socket.socket | None) -> None:
         """It came up, or did not."""
@@ -114,6 +115,11 @@
             return self.backends.end(self, io.Status.DIAL_FAILED)
         return self.write()
 
+    def not_connected(self, error: DialError) -> None:
+        """It did not come up."""
+        self.dial = None
+        self.backends.end(self, self.backends.not_dialled(self.endpoint.server.name, error))
+
     def write(self) -> None:
         """Send the attempt's request."""
         attempt = self.attempt
@@ -268,6 +274,7 @@
         self._open: set[Connection] = set()
         self._sweep: asyncio.TimerHandle | None = None
         self._staleness = Staleness()
+        self._shortage = ""  # of which the operator was told last; none since a dial has begun
 
     def changed(self, change: Change) -> None:
         """Take in the list or a part of it; idle connections to processes that ended are dropped."""
@@ -303,11 +310,10 @@
         endpoint = self._endpoints.get(attempt.server)
         if endpoint is None or endpoint.server.phase is not io.Phase.READY:
             return attempt.ended(attempt, io.Status.DIAL_FAILED, None)
-        connection = self._take(attempt.server)
-        if connection is None:
-            connection = self._connect(endpoint, attempt)
-            if connection is None:
-                return attempt.ended(attempt, io.Status.DIAL_FAILED, None)
+        try:
+            connection = self._take(attempt.server) or self._connect(endpoint, attempt)
+        except DialError as error:
+            return attempt.ended(attempt, self.not_dialled(attempt.server, error), None)
         attempt.connection, connection.attempt = connection, attempt
         left = (attempt.until - clock.now()) / clock.NS_PER_S
         attempt.timer = self.loop.call_later(max(0.0, left), self._expired, attempt)
@@ -425,16 +431,35 @@
             self.drop(connection)
         return None
 
-    def _connect(self, endpoint: Endpoint, attempt: Attempt) -> Connection | None:
-        if len(self._open) >= self._budget and not self._drop_oldest():
-            return None
-        try:
-            connection = Connection(self, endpoint, attempt)
-        except OSError as fault:
-            # Guards against running out of descriptors: room is made, this attempt has not run.
-            log.warning("server %s: no connection: %s", endpoint.server.name, fault)
+    def not_dialled(self, server: str, error: DialError) -> io.Status:
+        """What an attempt came to whose connection did not come up.
+
+        Guards against a shortage of this host being held against its servers, all of which would then be left
+        out for seconds.
+        """
+        if error.failure is DialFailure.UNREACHABLE:
+            log.info("server %s: no connection: %s", server, error)
+            return io.Status.DIAL_FAILED
+        self._short(str(error), error.code)
+        return io.Status.UNUSED
+
+    def _short(self, text: str, code: int) -> None:
+        """This host is short of something: one line for each shortage, and room where a close makes some.
+
+        An idle connection may be the only way left to its server, so none is closed that would free nothing.
+        """
+        if text != self._shortage:
+            self._shortage = text
+            log.warning("no connection to servers: %s", text)
+        if code in DESCRIPTOR_SHORTAGE:
             self._drop_oldest()
-            return None
+
+    def _connect(self, endpoint: Endpoint, attempt: Attempt) -> Connection:
+        if len(self._open) >= self._budget and not self._drop_oldest():
+            text = f"all {self._budget} are in use: raise limits.sockets, or run more gateways"
+            raise DialError(DialFailure.LOCAL, text)
+        connection = Connection(self, endpoint, attempt)
+        self._shortage = ""
         self._open.add(connection)
         return connection
 
--- a/gingerworks/gateway/counter.py
+++ b/gingerworks/gateway/counter.py
@@ -12,7 +12,7 @@
 from gingerworks import interface as io
 from gingerworks.gateway import clock, numerals
 from gingerworks.gateway.config import Address
-from gingerworks.gateway.dial import Dial
+from gingerworks.gateway.dial import Dial, DialError, DialFailure
 
 REST_NS = (
     3 * clock.NS_PER_S
@@ -73,6 +73,8 @@
         self._used_at = self._heard_at = 0
         self._pause_ns = FIRST_PAUSE_NS
         self._not_before = 0
+        self._away = io.Status.DIAL_FAILED  # what calls come to until then
+        self._why = ""  # there was no connection, as the operator was told last
         self._flushing = self._watching = self._retired = self._heard = False
 
     def connect(self) -> None:
@@ -80,10 +82,9 @@
         if self._socket is not None or self._dial is not None:
             return
         try:
-            self._dial = Dial(self._loop, self._address, CONNECT_S, self._connected)
-        except OSError as fault:
-            log.info("counter: no connection: %s", fault)
-            self._lost()
+            self._dial = Dial(self._loop, self._address, CONNECT_S, self._connected, self._not_connected)
+        except DialError as error:
+            self._not_connected(error)
 
     def call(self, action: io.Count) -> None:
         """Make a call; calls of one turn of the loop are written together."""
@@ -95,7 +96,7 @@
             if now >= self._not_before:
                 self.connect()
             if self._dial is None:
-                return self._end(call, io.Status.DIAL_FAILED)
+                return self._end(call, self._away)
         if len(self._calls) >= MOST_CALLS:
             return self._end(call, io.Status.SHED)
         call.timer = self._loop.call_later(self._wait_s, self._expired, call)
@@ -123,16 +124,32 @@
         if self._retired and not any(call.open for call in self._calls):
             self._close()
 
-    def _connected(self, sock: socket.socket | None) -> None:
+    def _connected(self, sock: socket.socket) -> None:
         self._dial = None
-        if sock is None:
-            return self._lost()
+        try:
+            self._loop.add_reader(sock.fileno(), self._readable)
+        except OSError as fault:
+            sock.close()
+            return self._not_connected(DialError.from_errno(DialFailure.LOCAL, fault.errno or 0))
         self._socket = sock
-        self._pause_ns = FIRST_PAUSE_NS
+        self._pause_ns, self._why = FIRST_PAUSE_NS, ""
         self._used_at = clock.now()
-        self._loop.add_reader(sock.fileno(), self._readable)
         return self._flush()
 
+    def _not_connected(self, error: DialError) -> None:
+        """Guards against a shortage of this host being taken for the counter's silence.
+
+        The pause does not grow with it then, and the calls tell nothing of how much the counter can take.
+        """
+        self._dial = None
+        if str(error) != self._why:  # one line for each trouble, however long it lasts
+            self._why = str(error)
+            log.info("counter: no connection: %s", error)
+        if error.failure is DialFailure.UNREACHABLE:
+            return self._lost()
+        self._pause(FIRST_PAUSE_NS, io.Status.UNUSED)
+        return self._drop(io.Status.UNUSED)
+
     def _flush(self) -> None:
         self._flushing = False
         if self._socket is None or not self._out:
@@ -224,14 +241,23 @@
         self._told(io.Counted(call.action.count, status, level, clock.now() - call.begun))
 
     def _lost(self) -> None:
-        """The connection is no more: tell each call what became of it; the next call makes a new one."""
-        calls, heard = list(self._calls), self._heard
-        self._close()
-        if not heard:  # on a connection that was answered a reset is no sign of a counter that is away
-            self._not_before = clock.now() + int(self._pause_ns * (0.5 + self._rng.random()))
+        """The connection is no more; the next call makes a new one."""
+        if not self._heard:  # on a connection that was answered a reset is no sign of a counter that is away
+            self._pause(self._pause_ns, io.Status.DIAL_FAILED)
             self._pause_ns = min(LONGEST_PAUSE_NS, 2 * self._pause_ns)
+        self._drop(io.Status.DIAL_FAILED)
+
+    def _pause(self, about_ns: int, status: io.Status) -> None:
+        """Dial no sooner than after about this time; calls come to ``status`` until then."""
+        self._not_before = clock.now() + int(about_ns * (0.5 + self._rng.random()))
+        self._away = status
+
+    def _drop(self, never_written: io.Status) -> None:
+        """End the connection and tell each call what became of it."""
+        calls = list(self._calls)
+        self._close()
         for call in calls:
-            self._end(call, io.Status.EXPIRED if call.written else io.Status.DIAL_FAILED)
+            self._end(call, io.Status.EXPIRED if call.written else never_written)
 
     def _close(self) -> None:
         if self._dial is not None:
--- a/gingerworks/policy/driver.py
+++ b/gingerworks/policy/driver.py
@@ -298,8 +298,8 @@
 
     def again(self, inflight: InFlight[Customer], outcome: io.Outcome) -> None:
         """Nothing is out any more: try once more or give the final answer."""
-        # A cancelled one was paid for; one that found nobody there has cost no server anything.
-        free = outcome.status in (io.Status.CANCELLED, io.Status.DIAL_FAILED)
+        # A cancelled one was paid for; one that found nobody there or never left has cost no server anything.
+        free = outcome.status in (io.Status.CANCELLED, io.Status.DIAL_FAILED, io.Status.UNUSED)
         cost = 0.0 if free else 1.0
         left = inflight.deadline - self.now > 2 * self.settings.tick_ns
         backend = self.choose(inflight) if left and self.retry_budget.covers(cost) else None
--- a/gingerworks/policy/quotas.py
+++ b/gingerworks/policy/quotas.py
@@ -148,7 +148,8 @@
         customer.advance(now)
         customer.call = None
         customer.heard = answer.status is io.Status.DELIVERED
-        self.steer(not customer.heard or 2 * answer.elapsed_ns > self.settings.counter_wait_ns)
+        if answer.status is not io.Status.UNUSED:  # that call never left: it tells nothing of the counter
+            self.steer(not customer.heard or 2 * answer.elapsed_ns > self.settings.counter_wait_ns)
         if customer.heard:
             self.answered_at = now
             return customer, customer.reading(call, answer.level, now)
