Go on accepting where a waiting connection has failed, and make room only in a shortage

Cause: frontend.py `_accept` met each OSError by closing clients that rest and by a pause of 20 ms, also ECONNABORTED and the other errors that accept(2) says to treat like EAGAIN by retrying, as they are those of the connection that was to be accepted. It wrote a line for each pause, which named nothing to do. accept takes a descriptor before it looks whether anybody waits, so `_maybe_stop` never saw an empty backlog while the system had none (ENFILE), and the graceful end never came. `_resume` called the listener watched before the loop had agreed: after an error of `add_reader` nobody was accepted any more.

Only EMFILE, ENFILE, ENOBUFS and ENOMEM make room; any other fault of the listener pauses and closes nobody. After a fault poll tells whether somebody waits. One line for each trouble, with what an operator can do, until an accept succeeds again.

Not covered: somebody who waits in the backlog through a lasting shortage still holds up the end.

--- a/gingerworks/gateway/frontend.py
+++ b/gingerworks/gateway/frontend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 import socket
 from collections.abc import Coroutine, Iterable
 from itertools import islice
@@ -15,6 +16,7 @@
 from gingerworks.gateway.config import Address
 from gingerworks.gateway.requests import Checks, Message, Refusal
 from gingerworks.gateway.runtime import Runtime
+from gingerworks.gateway.system_errors import NOT_ACCEPTED, SHORTAGE, explain
 
 HEALTH = b"/_health"
 BACKLOG = 4096
@@ -57,6 +59,7 @@
         self._accepting: set[asyncio.Task[Any]] = set()
         self._listener: socket.socket | None = None
         self._reading = False
+        self._accept_fault = 0  # the errno that the operator was told of last; none since one was accepted
         self._ended_at = self._last_accept = 0
         self._last_call: asyncio.TimerHandle | None = None
 
@@ -82,8 +85,14 @@
 
     def _resume(self) -> None:
         if self._listener is not None and not self._reading:
+            try:
+                self.loop.add_reader(self._listener.fileno(), self._accept)
+            except OSError as fault:
+                # Guards against a loop that is short for a moment never hearing of newcomers again.
+                self._tell_accept_fault(fault.errno or 0)
+                self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
+                return
             self._reading = True
-            self.loop.add_reader(self._listener.fileno(), self._accept)
 
     def _pause(self) -> None:
         if self._listener is not None and self._reading:
@@ -102,12 +111,40 @@
             except BlockingIOError:
                 return True
             except OSError as fault:
-                # Guards against running out of descriptors: who waits stays in the backlog meanwhile.
-                log.warning("accept: %s", fault)
-                return self._wait_for_room()
+                if fault.errno in NOT_ACCEPTED:
+                    continue  # that connection is gone; others may wait behind it
+                return self._cannot_accept(fault.errno or 0)
+            self._accept_fault = 0
             self._begin(sock)
         return False
 
+    def _cannot_accept(self, code: int) -> bool:
+        """Who waits stays in the backlog meanwhile; whether nobody does.
+
+        Only a shortage is met by making room: any other fault of the listener is no client's.
+        """
+        self._tell_accept_fault(code)
+        if code in SHORTAGE:
+            self._make_room()
+        self._pause_accepting()
+        # accept(2) takes a descriptor before it looks whether anybody waits: the error does not tell.
+        return not self._somebody_waits()
+
+    def _tell_accept_fault(self, code: int) -> None:
+        """One line for each trouble, however many times it is met."""
+        if code != self._accept_fault:
+            self._accept_fault = code
+            log.warning("accept: %s", explain(code))
+
+    def _somebody_waits(self) -> bool:
+        assert self._listener is not None
+        backlog = select.poll()
+        backlog.register(self._listener, select.POLLIN)
+        try:
+            return bool(backlog.poll(0))
+        except OSError:
+            return True  # not known
+
     def _begin(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -135,9 +172,12 @@
     def _wait_for_room(self) -> bool:
         """Who waits stays in the backlog meanwhile; never nobody."""
         self._make_room()
+        self._pause_accepting()
+        return False
+
+    def _pause_accepting(self) -> None:
         self._pause()  # until one has ended, or there may be one to close
         self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
-        return False
 
     def _make_room(self) -> None:
         """Close connections, those first that matter least.
--- a/tests/test_system_call_faults.py
+++ b/tests/test_system_call_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import logging
 import os
@@ -11,10 +12,10 @@
 import pytest
 
 from gingerworks import interface as io
-from gingerworks.gateway import clock, dial
+from gingerworks.gateway import clock, dial, frontend
 from gingerworks.gateway import counter as counter_module
 from gingerworks.gateway.__main__ import Gateway
-from tests.fault_injection import Call, Fault, Faults
+from tests.fault_injection import Call, Fault, Faults, FaultySocket
 from tests.loopback import (
     BODY,
     OK,
@@ -34,6 +35,7 @@
 from tests.test_gateway_attempts import Ended, attempt, backends, ending
 from tests.test_gateway_counter import call as counted
 from tests.test_gateway_counter import counter, echoing, scripted
+from tests.test_gateway_crowd import HEALTH
 
 FOR_GOOD = 1 << 30
 
@@ -425,3 +427,128 @@
         assert [message.endswith(b"some bytes") for message in server.requests] == [True] * 3
 
     run(scenario())
+
+
+def listening(monkeypatch: pytest.MonkeyPatch, made: Gateway, *faults: Fault) -> Faults:
+    """Faults in the sockets of clients, and in the listener that a gateway has opened already."""
+    injected_here = Faults(*faults)
+    listener = made.frontend._listener
+    assert listener is not None
+    faulty = FaultySocket(injected_here, listener.family, listener.type, fileno=listener.detach())
+    made.frontend._listener = faulty
+    return injected_here
+
+
+NO_SHORTAGE = [
+    *(errno.ECONNABORTED, errno.EPROTO, errno.EINTR, errno.ENETDOWN, errno.ENOPROTOOPT, errno.EHOSTDOWN),
+    *(errno.ENONET, errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT, errno.EPERM),
+]
+
+
+async def resting_and_waiting(made: Gateway) -> tuple[Client, list[Client]]:
+    """A client that rests after an answer, and others that have connected and are not accepted yet."""
+    resting = await Client.to(made)
+    assert (await resting.send(HEALTH))[0] == 200
+    made.frontend._pause()
+    return resting, [await Client.to(made) for _ in range(3)]
+
+
+@pytest.mark.parametrize("code", NO_SHORTAGE, ids=shown)
+def test_a_connection_that_ends_before_it_is_accepted_costs_no_other(
+    code: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Clients between requests were closed, and nobody was accepted for 20 ms, though nothing was short.
+    monkeypatch.setattr(frontend, "GRACE_NS", 0)
+
+    async def scenario() -> None:
+        made = gateway()
+        resting, waiting = await resting_and_waiting(made)
+        listening(monkeypatch, made, Fault(Call.ACCEPT, code, times=2))
+        assert made.frontend._accept()  # nobody waits any more
+        assert len(made.frontend._clients) == 4
+        for client in [resting, *waiting]:
+            assert (await client.send(HEALTH))[0] == 200
+
+    run(scenario())
+
+
+def test_connections_that_end_before_they_are_accepted_do_not_hold_up_a_turn(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        made = gateway()
+        faults = listening(monkeypatch, made, Fault(Call.ACCEPT, errno.ECONNABORTED, times=FOR_GOOD))
+        assert not made.frontend._accept()
+        assert faults.counts[Call.ACCEPT] == frontend.ACCEPT_AT_ONCE
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("code", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM], ids=shown)
+def test_a_shortage_at_accept_makes_room_and_is_told_once(
+    code: int, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    # One line came with each pause of 20 ms, and said nothing of what to do.
+    monkeypatch.setattr(frontend, "GRACE_NS", 0)
+
+    async def scenario() -> None:
+        made = gateway()
+        resting, waiting = await resting_and_waiting(made)
+        faults = listening(monkeypatch, made, Fault(Call.ACCEPT, code, times=FOR_GOOD))
+        assert not made.frontend._accept()
+        assert not made.frontend._reading  # no spin
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await resting.send(HEALTH)
+        await until(lambda: faults.counts[Call.ACCEPT] >= 5)  # again and again, with pauses between
+        (said,) = [record.message for record in caplog.records if record.message.startswith("accept")]
+        assert f"[Errno {code}]" in said
+        assert ";" in said  # what can be done about it
+        faults.failing([])
+        for client in waiting:
+            assert (await client.send(HEALTH))[0] == 200
+
+    run(scenario())
+
+
+def test_a_fault_of_the_listener_that_is_no_shortage_closes_no_client(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(frontend, "GRACE_NS", 0)
+
+    async def scenario() -> None:
+        made = gateway()
+        resting, waiting = await resting_and_waiting(made)
+        faults = listening(monkeypatch, made, Fault(Call.ACCEPT, errno.EINVAL))
+        assert not made.frontend._accept()
+        assert faults.counts[Call.ACCEPT] == 1  # no spin
+        for client in [resting, *waiting]:
+            assert (await client.send(HEALTH))[0] == 200
+
+    run(scenario())
+
+
+def test_a_gateway_without_descriptors_ends_where_nobody_waits(monkeypatch: pytest.MonkeyPatch) -> None:
+    # accept fails for want of a descriptor before it looks whether anybody waits: the end never came.
+    monkeypatch.setattr(frontend, "QUIET_S", 0.01)
+
+    async def scenario() -> None:
+        made = gateway()
+        listening(monkeypatch, made, Fault(Call.ACCEPT, errno.ENFILE, times=FOR_GOOD))
+        made.frontend.end()
+        await made.ended()
+
+    run(scenario())
+
+
+def test_a_loop_that_cannot_watch_the_listener_tries_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    # The listener counted as watched from then on, and nobody was accepted any more.
+    async def scenario() -> None:
+        made = gateway()
+        await resting_and_waiting(made)
+        with monkeypatch.context() as patch:
+            patch.setattr(made.frontend.loop, "add_reader", failing("add_reader"))
+            with contextlib.suppress(OSError):
+                made.frontend._resume()
+        assert (await (await Client.to(made)).send(HEALTH))[0] == 200
+
+    run(scenario())
