Answer clients on whose socket no option can be set

Cause: frontend.py `_begin` called `setblocking` and `setsockopt` with no guard: an error left the loop's callback with the socket open and in no table, so a request that had come on it was never read.

Change: `_prepare` sets what the system lets it; the connection lives on. The loop makes a socket non-blocking itself as it attaches it, and TCP_NODELAY only saves a wait for an acknowledgement.

Ruled out: a connection that the loop cannot attach (`connect_accepted_socket` raises) is closed and forgotten, before this too.

Tests on the old code: 6 of the 7 new cases fail (EINVAL, ENOBUFS, ENOMEM in either call): the error escapes `_accept`. With this, requests that lay in such sockets and further ones are answered 200, and no descriptor stays.

--- a/gingerworks/gateway/frontend.py
+++ b/gingerworks/gateway/frontend.py
@@ -146,8 +146,7 @@
             return True  # not known
 
     def _begin(self, sock: socket.socket) -> None:
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _prepare(sock)
         client = ClientConnection(self, sock)
         self._clients.add(client)
         self._new[client] = None
@@ -327,3 +326,17 @@
             self._last_call = self.loop.call_later(ACCEPT_PAUSE_S, self._give_up)
         elif not any(client.number for client in self._clients):
             self.finished.set()
+
+
+def _prepare(sock: socket.socket) -> None:
+    """Set an accepted socket's options, where the system lets us.
+
+    Guards against losing a request that may lie in the socket already: its answer needs neither option.  The
+    loop sets the first one itself as it attaches the connection; without the second a small answer may wait
+    for the client's acknowledgement of the one before.
+    """
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except OSError as fault:
+        log.info("a client's socket: %s", explain(fault.errno or 0))
--- a/tests/test_system_call_faults.py
+++ b/tests/test_system_call_faults.py
@@ -540,6 +540,54 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("call", [Call.SETBLOCKING, Call.SETSOCKOPT], ids=shown)
+@pytest.mark.parametrize("code", [errno.EINVAL, errno.ENOBUFS, errno.ENOMEM], ids=shown)
+def test_a_request_on_a_socket_that_takes_no_options_is_answered(
+    call: Call, code: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The error left the loop's callback; the socket stayed open, unread, in no table.
+    async def scenario() -> None:
+        server = await answering(OK)
+        made = gateway(server.address)
+        _, waiting = await resting_and_waiting(made)
+        faults = listening(monkeypatch, made, Fault(call, code, times=FOR_GOOD))
+        for client in waiting:
+            client.writer.write(ask("post"))
+        assert made.frontend._accept()
+        assert len(made.frontend._clients) == 4
+        for client in waiting:
+            assert (await client.answer())[0] == 200
+            assert (await client.send(ask("post")))[0] == 200
+            client.writer.close()
+        await until(faults.all_closed)
+        assert len(made.frontend._clients) == 1
+
+    run(scenario())
+
+
+def test_a_connection_that_cannot_be_attached_is_closed_and_forgotten(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        made = gateway()
+        _, waiting = await resting_and_waiting(made)
+        faults = listening(monkeypatch, made)
+
+        async def attach(*arguments: object) -> None:
+            raise OSError(errno.ENOMEM, os.strerror(errno.ENOMEM))
+
+        with monkeypatch.context() as patch:
+            patch.setattr(made.frontend.loop, "connect_accepted_socket", attach)
+            assert made.frontend._accept()
+            await until(lambda: len(made.frontend._clients) == 1)
+        assert faults.all_closed()
+        for client in waiting:
+            assert await client.reader.read() == b""
+        assert (await (await Client.to(made)).send(HEALTH))[0] == 200
+
+    run(scenario())
+
+
 def test_a_loop_that_cannot_watch_the_listener_tries_again(monkeypatch: pytest.MonkeyPatch) -> None:
     # The listener counted as watched from then on, and nobody was accepted any more.
     async def scenario() -> None:
