Close no client's connection on a look that failed for a moment

Cause: client.py `unread` took every error of its look for "nothing has come", also EINTR, ENOBUFS and ENOMEM, so that making room, the begin of the end and a rest of 3 s closed a connection with a request unread in the kernel: a reset, and the request lost. An error of poll in `gone` left `Runtime._assign`, which answered 502 for a request that nobody had been sent.

Change: what cannot be told for a moment may have come, and is not closed on; a connection that has broken holds nothing. A client that cannot be looked at is owed its answer. MSG_DONTWAIT keeps the look from waiting where the socket could not be made non-blocking.

--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -15,6 +15,7 @@
 from gingerworks.gateway.backend import Answer
 from gingerworks.gateway.client_owner import ClientOwner
 from gingerworks.gateway.requests import BODY_BYTES, HEAD_BYTES, Message, Refusal
+from gingerworks.gateway.system_errors import TRY_AGAIN
 
 MESSAGE_BYTES = HEAD_BYTES + 8 * BODY_BYTES  # small chunks frame every byte with six more
 PIPELINED = 1  # requests read ahead on one connection; one that sends more is not read meanwhile
@@ -269,7 +270,10 @@
             return True
         ends = select.poll()
         ends.register(self.socket, select.POLLRDHUP)
-        return bool(ends.poll(0))
+        try:
+            return bool(ends.poll(0))
+        except OSError:
+            return False  # not known for now: whoever has not gone is owed an answer
 
     def _release(self) -> None:
         self.owner.store(-self.stored)
@@ -304,8 +308,14 @@
         return not self.reading and not self.unsent()
 
     def unread(self) -> bool:
-        """Whether something has come that was not read yet."""
+        """Whether something has come that was not read yet, or may have come.
+
+        Guards against closing on a request while the system cannot tell for a moment.  Any other error has
+        ended the connection, so that nobody waits there.
+        """
         try:
-            return bool(self.socket.recv(1, socket.MSG_PEEK))
-        except OSError:
+            return bool(self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except BlockingIOError:
             return False
+        except OSError as fault:
+            return fault.errno in TRY_AGAIN
--- a/tests/test_system_call_faults.py
+++ b/tests/test_system_call_faults.py
@@ -7,11 +7,14 @@
 import errno
 import logging
 import os
+import select
+import socket
 from collections.abc import Callable
 
 import pytest
 
 from gingerworks import interface as io
+from gingerworks.gateway import client as client_module
 from gingerworks.gateway import clock, dial, frontend
 from gingerworks.gateway import counter as counter_module
 from gingerworks.gateway.__main__ import Gateway
@@ -31,7 +34,7 @@
     run,
     until,
 )
-from tests.support import MS, request, started
+from tests.support import MS, SECOND, request, started
 from tests.test_gateway_attempts import Ended, attempt, backends, ending
 from tests.test_gateway_counter import call as counted
 from tests.test_gateway_counter import counter, echoing, scripted
@@ -600,3 +603,102 @@
         assert (await (await Client.to(made)).send(HEALTH))[0] == 200
 
     run(scenario())
+
+
+async def come_but_not_read(
+    monkeypatch: pytest.MonkeyPatch, made: Gateway, asked: bool
+) -> tuple[Client, Faults]:
+    """A client whose next request lies in the gateway's kernel buffer, unread, and its socket's faults."""
+    faults = listening(monkeypatch, made)
+    client = await Client.to(made)
+    if asked:
+        assert (await client.send(HEALTH))[0] == 200
+    await until(lambda: [c.transport is not None for c in made.frontend._clients] == [True])
+    sock: socket.socket = client.writer.get_extra_info("socket")
+    os.write(sock.fileno(), ask("post"))  # before the loop turns again
+    return client, faults
+
+
+def room_is_made(made: Gateway) -> None:
+    made.frontend._make_room()
+
+
+def the_end_begins(made: Gateway) -> None:
+    made.frontend.end()
+
+
+def it_has_rested_for_long(made: Gateway) -> None:
+    (client,) = made.frontend._clients
+    client.check_time(client.since + 60 * SECOND)
+
+
+CLOSES = [room_is_made, the_end_begins, it_has_rested_for_long]
+
+
+@pytest.mark.parametrize("asked", [False, True])
+@pytest.mark.parametrize("closes", CLOSES)
+@pytest.mark.parametrize("code", [errno.EINTR, errno.ENOBUFS, errno.ENOMEM], ids=shown)
+def test_a_request_that_the_system_cannot_tell_of_for_a_moment_is_answered(
+    code: int, closes: Callable[[Gateway], None], asked: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Any error of the look for unread bytes was taken for "nothing has come", and the connection was closed.
+    monkeypatch.setattr(frontend, "GRACE_NS", 0)
+
+    async def scenario() -> None:
+        server = await answering(OK)
+        made = gateway(server.address)
+        client, faults = await come_but_not_read(monkeypatch, made, asked)
+        faults.failing([Fault(Call.RECV, code)])
+        closes(made)
+        assert faults.raised[Call.RECV] == 1
+        assert (await client.answer())[0] == 200
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("code", [errno.ECONNRESET, errno.ETIMEDOUT, errno.EHOSTUNREACH], ids=shown)
+def test_a_connection_that_has_broken_holds_nothing_unread(
+    code: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(frontend, "GRACE_NS", 0)
+
+    async def scenario() -> None:
+        made = gateway()
+        client, faults = await come_but_not_read(monkeypatch, made, asked=True)
+        faults.failing([Fault(Call.RECV, code, times=FOR_GOOD)])
+        made.frontend._make_room()
+        await until(lambda: not made.frontend._clients)
+        assert client.writer is not None
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("code", [errno.EINTR, errno.ENOMEM, errno.EINVAL], ids=shown)
+def test_a_request_whose_client_cannot_be_looked_at_is_answered(
+    code: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The error ended the request: it was answered as failed, and its attempt never began.
+    class Blind:
+        """A poll object that fails."""
+
+        def register(self, *arguments: object) -> None:
+            pass
+
+        def poll(self, timeout: float) -> list[tuple[int, int]]:
+            raise OSError(code, os.strerror(code))
+
+    class Select:
+        """Stands for the module ``select``."""
+
+        POLLRDHUP = select.POLLRDHUP
+        poll = Blind
+
+    async def scenario() -> None:
+        server = await answering(OK)
+        made = gateway(server.address)
+        client = await Client.to(made)
+        monkeypatch.setattr(client_module, "select", Select)
+        for _ in range(2):
+            assert (await client.send(ask("post")))[0] == 200
+
+    run(scenario())
