Write no call to the counter that was told as not added

Cause: counter.py `_expired` told a call as DIAL_FAILED ("nothing added") while its line, or the rest of it, stayed in `_out`: it was written, and added, as soon as the connection could carry it (a dial that takes longer than a call waits, 0.25 s against 0.08 s for example, or a full socket). The module told the same use again with a later call.

Change: a call given up before its first byte was taken is taken back; one whose line has begun may yet be added (EXPIRED). A call holds its line and how much of it the kernel has taken, which replaces the buffer and the offsets.

Tests on the old code: both fail: the peer reads the calls 1 and 2 that were told as not added, and a call cut in the middle of its line is told DIAL_FAILED, though the rest follows.

--- a/gingerworks/gateway/counter.py
+++ b/gingerworks/gateway/counter.py
@@ -33,19 +33,21 @@
 class Call:
     """One call; it keeps its place in the order of the answers after it was given up."""
 
-    __slots__ = ("action", "begun", "open", "timer", "written")
+    __slots__ = ("action", "begun", "line", "open", "sent", "timer")
 
     def __init__(self, action: io.Count, begun: int) -> None:
         self.action = action
         self.begun = begun
         self.open = True
-        self.written = False
+        life = min(LONGEST_LIFE_MS, max(1, action.keep_ns // clock.NS_PER_MS))
+        self.line = f"bump {action.count} {action.amount:.7f} {life}\r\n".encode()
+        self.sent = 0  # bytes of the line that the kernel has taken
         self.timer: asyncio.TimerHandle | None = None
 
-    def line(self) -> bytes:
-        """The call on the wire."""
-        life = min(LONGEST_LIFE_MS, max(1, self.action.keep_ns // clock.NS_PER_MS))
-        return f"bump {self.action.count} {self.action.amount:.7f} {life}\r\n".encode()
+    @property
+    def written(self) -> bool:
+        """Whether it may have been added."""
+        return self.sent == len(self.line)
 
 
 class Counter:
@@ -68,9 +70,7 @@
         self._socket: socket.socket | None = None
         self._dial: Dial | None = None
         self._calls: deque[Call] = deque()  # in the order of their answers
-        self._out = bytearray()  # not yet handed to the kernel
-        self._ends: deque[tuple[int, Call]] = deque()  # where in the stream of bytes each call ends
-        self._queued = self._sent = 0
+        self._unsent: deque[Call] = deque()  # those of them that are not written whole
         self._in = b""
         self._used_at = self._heard_at = 0
         self._pause_ns = FIRST_PAUSE_NS
@@ -102,11 +102,8 @@
         if len(self._calls) >= MOST_CALLS:
             return self._end(call, io.Status.SHED)
         call.timer = self._loop.call_later(self._wait_s, self._expired, call)
-        line = call.line()
         self._calls.append(call)
-        self._out += line
-        self._queued += len(line)
-        self._ends.append((self._queued, call))
+        self._unsent.append(call)
         if self._socket is not None and not self._flushing:
             self._flushing = True
             self._loop.call_soon(self._flush)
@@ -154,10 +151,12 @@
 
     def _flush(self) -> None:
         self._flushing = False
-        if self._socket is None or not self._out:
+        if self._socket is None:
             return
+        if not self._unsent:
+            return self._watch_writable(False)
         try:
-            sent = self._socket.send(self._out)
+            sent = self._socket.send(b"".join(call.line[call.sent :] for call in self._unsent))
         except (BlockingIOError, InterruptedError):
             sent = 0
         except OSError as fault:
@@ -166,11 +165,18 @@
             log.info("counter: connection broke: %s", explain(fault.errno or 0))
             return self._lost()
         self._used_at = clock.now()
-        del self._out[:sent]
-        self._sent += sent
-        while self._ends and self._ends[0][0] <= self._sent:
-            self._ends.popleft()[1].written = True
-        return self._watch_writable(bool(self._out))
+        self._taken(sent)
+        return self._watch_writable(bool(self._unsent))
+
+    def _taken(self, size: int) -> None:
+        """The kernel has taken so many bytes of what is unsent."""
+        while size:
+            call = self._unsent[0]
+            part = min(size, len(call.line) - call.sent)
+            call.sent += part
+            size -= part
+            if call.written:
+                self._unsent.popleft()
 
     def _flush_later(self) -> None:
         """Guards against a spin: a socket counts as writable while this host has no buffers for it.
@@ -240,7 +246,11 @@
         return True
 
     def _expired(self, call: Call) -> None:
-        self._end(call, io.Status.EXPIRED if call.written else io.Status.DIAL_FAILED)
+        # Guards against a call that was told as not added being written, and added, later on.
+        if not call.sent and call in self._unsent:
+            self._unsent.remove(call)
+            self._calls.remove(call)
+        self._end(call, io.Status.EXPIRED if call.sent else io.Status.DIAL_FAILED)
         # Guards against a connection that fell silent being waited on by one call after the other.  One that
         # is answered late, as by a counter with much to do, is kept: all calls would be late on any.
         if self._socket is not None and self._calls and self._calls[0].written:
@@ -287,8 +297,6 @@
             self._socket.close()
             self._socket = None
         self._calls.clear()
-        self._ends.clear()
-        self._out.clear()
-        self._queued = self._sent = 0
+        self._unsent.clear()
         self._in = b""
         self._watching = self._heard = False
--- a/tests/test_system_call_faults.py
+++ b/tests/test_system_call_faults.py
@@ -789,7 +789,7 @@
 
 
 def counted_line() -> bytes:
-    return counter_module.Call(counted(1), 0).line()
+    return b"bump 1 1.0000000 60000\r\n"
 
 
 @pytest.mark.parametrize("code", [errno.ECONNRESET, errno.ETIMEDOUT, errno.EHOSTUNREACH], ids=shown)
@@ -806,3 +806,50 @@
         assert faults.all_closed()
 
     run(scenario())
+
+
+def test_a_call_that_was_told_as_not_added_is_not_written_later(monkeypatch: pytest.MonkeyPatch) -> None:
+    # A call given up while its connection was coming up, or while nothing could be written, counted as one
+    # that adds nothing, and was written and added all the same once the connection could carry it.
+    async def scenario() -> None:
+        faults = injected(monkeypatch, Fault(Call.SEND, errno.EAGAIN, times=FOR_GOOD))
+        peer = await scripted(echoing)
+        made, told = counter(peer.address, 80 * MS)
+        made.call(counted(1))
+        made.call(counted(2))
+        await until(lambda: len(told) == 2)
+        assert {answer.status for answer in told} == {io.Status.DIAL_FAILED}
+        made._wait_s = 20.0
+        faults.failing([])
+        made.call(counted(3))
+        await until(lambda: len(told) == 3)
+        assert told[2].status is io.Status.DELIVERED
+        assert [line.split()[1] for line in peer.requests] == [b"3"]
+        assert peer.connections == 1
+
+    run(scenario())
+
+
+def test_a_call_that_is_written_in_part_may_yet_be_added(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Given up in the middle of its line it counted as one that adds nothing, and the rest was written later.
+    async def scenario() -> None:
+        half = len(counted_line()) // 2
+        fault = Fault(Call.SEND, errno.EAGAIN, first=2, times=FOR_GOOD)
+        faults = injected(monkeypatch, fault, most_sent=half)
+        peer = await scripted(echoing)
+        made, told = counter(peer.address, 80 * MS)
+        for number in (1, 2):
+            made.call(counted(number))
+        await until(lambda: len(told) == 2)
+        assert {answer.count: answer.status for answer in told} == {
+            1: io.Status.EXPIRED,
+            2: io.Status.DIAL_FAILED,
+        }
+        made._wait_s = 20.0
+        faults.failing([])
+        made.call(counted(3))
+        await until(lambda: len(told) == 3)
+        assert (told[2].count, told[2].status) == (3, io.Status.DELIVERED)
+        assert [line.split()[1] for line in peer.requests] == [b"1", b"3"]
+
+    run(scenario())
