Ask discovery again at once where a shortage of this host ended the call

Cause: discovery.py `run` took any error of a call that was made but not answered for a call turned away, also ENOBUFS, ENOMEM, EMFILE and ENFILE, so the pauses grew to 3 s as for a crowd. Each failed dial wrote a line, 13 to 40 a second while it lasted, which named nothing to do.

Change: a state SHORT for them, reopened within 75 ms like a dial that failed; one line for each trouble until a watch is open, with what an operator can do.

Ruled out (the old code paused as long, its cases fail for the 200 lines alone): dials that fail with EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EAGAIN, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT or ECONNREFUSED are followed by the next within 75 ms, 200 times over, with no spin. ECONNRESET and EHOSTUNREACH before an answer are a refusal, ETIMEDOUT is silence; these three pass on the old code.

--- a/gingerworks/gateway/discovery.py
+++ b/gingerworks/gateway/discovery.py
@@ -19,6 +19,7 @@
 from gingerworks import interface as io
 from gingerworks.gateway import clock
 from gingerworks.gateway.config import Address, address_from
+from gingerworks.gateway.system_errors import SHORTAGE, explain
 
 # Seconds.  From any change on, all that may come before the list is heard has to fit in TOLD_S, at any number
 # of gateways: either the former watch's silence, a pause, a connection and a first line, or a refusal's pause
@@ -142,6 +143,7 @@
     """How far a watch has come; what its end then means."""
 
     DIALLING = "nobody is there: that costs nobody, and it is there again at any moment"
+    SHORT = "this host was short of something: no sign of a crowd, and over at any moment"
     ASKED = "turned away, or ended in vain: a crowd, which goes only if fewer come"
     SILENT = "nothing has come: the agent is there and learns nothing, what it learns next counts as told"
     FOLLOWING = "served: what the agent has goes on counting as told"
@@ -163,6 +165,7 @@
         self._objects = Objects()
         self._state = State.DIALLING
         self._ended = self._answered = False
+        self._why = ""  # there is no watch, as the operator was told last; none since one was opened
         self.settled = asyncio.Event()  # the first answer has been taken in, or the first call has failed
 
     async def run(self) -> None:
@@ -176,14 +179,20 @@
             why, self._state = "it ended", State.DIALLING
             try:
                 await self._follow()
-            except (OSError, ValueError, httptools.HttpParserError) as fault:
+            except OSError as fault:
+                why = explain(fault.errno) if fault.errno else str(fault) or type(fault).__name__
+                if fault.errno in SHORTAGE:
+                    self._state = State.SHORT
+            except (ValueError, httptools.HttpParserError) as fault:
                 why = str(fault) or type(fault).__name__
             except Exception:
                 # Guards against a fault that nobody thought of ending the watch for good, in silence.
                 log.exception("discovery: the watch failed")
                 why, self._index = "a fault", 0
             self.settled.set()
-            log.info("discovery: watch to be reopened: %s", why)
+            if why != self._why:  # one line for each trouble, however long it lasts
+                self._why = why
+                log.info("discovery: watch to be reopened: %s", why)
             if self._state is State.ASKED:
                 # Guards against a fleet that was turned away together jamming discovery for good: it has one
                 # capacity for all, and works on calls that nobody waits for any more.  A pause of half the
@@ -212,7 +221,7 @@
                 if parser.get_status_code() not in (0, 200):
                     raise ValueError(f"status {parser.get_status_code()}")
                 if self._state is State.ASKED and parser.get_status_code() == 200:
-                    self._state = State.FOLLOWING
+                    self._state, self._why = State.FOLLOWING, ""
                     log.info("discovery: watching from version %d", self._index)
                 self._take_lines()
         finally:
--- a/tests/test_system_call_faults.py
+++ b/tests/test_system_call_faults.py
@@ -10,12 +10,13 @@
 import select
 import socket
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 
 from gingerworks import interface as io
 from gingerworks.gateway import client as client_module
-from gingerworks.gateway import clock, dial, frontend
+from gingerworks.gateway import clock, dial, discovery, frontend
 from gingerworks.gateway import counter as counter_module
 from gingerworks.gateway.__main__ import Gateway
 from tests.fault_injection import Call, Fault, Faults, FaultySocket
@@ -29,7 +30,9 @@
     answering,
     ask,
     closed_port,
+    entry,
     gateway,
+    listing,
     read_message,
     run,
     until,
@@ -39,6 +42,7 @@
 from tests.test_gateway_counter import call as counted
 from tests.test_gateway_counter import counter, echoing, scripted
 from tests.test_gateway_crowd import HEALTH
+from tests.test_gateway_discovery import line, watching
 
 FOR_GOOD = 1 << 30
 
@@ -853,3 +857,115 @@
         assert [line.split()[1] for line in peer.requests] == [b"1", b"3"]
 
     run(scenario())
+
+
+@pytest.fixture
+def pauses(monkeypatch: pytest.MonkeyPatch) -> list[float]:
+    """The pauses between the calls of discovery, none of which is waited out."""
+    taken: list[float] = []
+
+    async def pause(seconds: float) -> None:
+        taken.append(seconds)
+        await asyncio.sleep(0)
+
+    monkeypatch.setattr(discovery, "pause", pause)
+    return taken
+
+
+def dials_that_fail(monkeypatch: pytest.MonkeyPatch, code: int, times: int) -> None:
+    """The first dials of any asyncio stream."""
+    dial_stream, left = asyncio.open_connection, [times]
+
+    async def dial(*arguments: Any) -> tuple[Reader, Writer]:
+        if left[0]:
+            left[0] -= 1
+            raise OSError(code, os.strerror(code))
+        return await dial_stream(*arguments)
+
+    monkeypatch.setattr(asyncio, "open_connection", dial)
+
+
+def first_reads_that_fail(monkeypatch: pytest.MonkeyPatch, code: int, times: int) -> None:
+    """The first connections of any asyncio stream come up, and break at the first read."""
+    dial_stream, left = asyncio.open_connection, [times]
+
+    async def dial(*arguments: Any) -> tuple[Reader, Writer]:
+        reader, writer = await dial_stream(*arguments)
+        if left[0]:
+            left[0] -= 1
+            reader.set_exception(OSError(code, os.strerror(code)))
+        return reader, writer
+
+    monkeypatch.setattr(asyncio, "open_connection", dial)
+
+
+WHOLE = [line(listing(entry("a", ("127.0.0.1", 1)), index=9))]
+
+
+@pytest.mark.parametrize(
+    "code",
+    [
+        *(errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EAGAIN),
+        *(errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ETIMEDOUT, errno.ECONNREFUSED),
+    ],
+    ids=shown,
+)
+def test_a_watch_whose_dial_fails_is_opened_with_the_first_that_does_not(
+    code: int,
+    pauses: list[float],
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+
+    async def scenario() -> None:
+        dials_that_fail(monkeypatch, code, times=200)
+        peer, told = await watching(WHOLE)
+        await until(lambda: bool(told))
+        assert len(pauses) == 200
+        assert all(0.5 <= seconds / discovery.REOPEN_PAUSE_S <= 1.5 for seconds in pauses)
+        assert peer.connections == 1
+        assert peer.task is not None
+        peer.task.cancel()
+
+    run(scenario())
+    (said,) = [record.message for record in caplog.records if "to be reopened" in record.message]
+    assert f"[Errno {code}]" in said
+
+
+@pytest.mark.parametrize("code", [errno.ENOBUFS, errno.ENOMEM, errno.EMFILE, errno.ENFILE], ids=shown)
+def test_a_call_of_discovery_that_a_shortage_ends_is_no_refusal(
+    code: int, pauses: list[float], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # It was taken for a crowd at discovery: pauses grew to 3 s, as after calls that are turned away.
+    async def scenario() -> None:
+        first_reads_that_fail(monkeypatch, code, times=20)
+        peer, told = await watching(*([[]] * 20), WHOLE)
+        await until(lambda: bool(told))
+        assert max(pauses) <= 1.5 * discovery.REOPEN_PAUSE_S
+        assert peer.task is not None
+        peer.task.cancel()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("code", "crowded"),
+    [(errno.ECONNRESET, True), (errno.EHOSTUNREACH, True), (errno.ETIMEDOUT, False)],
+    ids=shown,
+)
+def test_a_call_of_discovery_that_breaks_before_its_answer_is_a_refusal_unless_nobody_heard_it(
+    code: int, crowded: bool, pauses: list[float], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # ETIMEDOUT: nobody has acknowledged the call, which is silence and no crowd.
+    async def scenario() -> None:
+        first_reads_that_fail(monkeypatch, code, times=20)
+        peer, told = await watching(*([[]] * 20), WHOLE)
+        await until(lambda: bool(told))
+        least = 0.5 * discovery.REFUSED_PAUSE_S if crowded else 0.0
+        assert least <= max(pauses)
+        assert max(pauses) <= (discovery.REFUSED_PAUSE_S if crowded else 1.5 * discovery.REOPEN_PAUSE_S)
+        assert peer.task is not None
+        peer.task.cancel()
+
+    run(scenario())
