Let attempts that never left say nothing of the servers' load

Cause: policy/driver.py `_learn` added an answer's time to what is allowed for each attempt that ended otherwise than late or turned away, also for one that was never sent and so took no time: during a shortage of this host the load seemed to fall, and load shedding let through what overloads the servers.

Change: UNUSED adds nothing, as EXPIRED.

Test on the old code: fails, the ratio of load falls from 1.05 to 0.18 by a hundred requests of four such attempts. Run with this: the tests of load shedding, unreachable servers, rules, the module and the adapter.

--- a/gingerworks/policy/driver.py
+++ b/gingerworks/policy/driver.py
@@ -282,11 +282,12 @@
         self.shedder.shift(-1 * attempt.counted, self.now)
         attempt.may_have_run = not outcome.status.never_ran
         self.servers.answered(attempt.backend, outcome, kind, self.now)
-        # Slow answers and turned-away attempts tell of load; broken connections and errors do not.
+        # Slow answers and turned-away attempts tell of load; broken connections and errors do not, and
+        # what never left tells nothing at all.
         target = self.servers.target(kind)
         if outcome.status is io.Status.SHED:
             self.shedder.spent += PATIENCE_MEANS * target
-        elif outcome.status is not io.Status.EXPIRED:
+        elif outcome.status not in (io.Status.EXPIRED, io.Status.UNUSED):
             self.shedder.allowed += target
 
     def _settle_units(self, inflight: InFlight[Customer], outcome: io.Outcome) -> None:
--- a/tests/test_load_shedding.py
+++ b/tests/test_load_shedding.py
@@ -32,6 +32,18 @@
     assert policy.shedder.ratio(policy.now) < 1.0
 
 
+def test_attempts_that_never_left_hide_no_overload() -> None:
+    # Each counted as an answer that had taken no time: a shortage of this host let through what overloads.
+    policy = started()
+    policy.shedder.spent = 0.05 * policy.shedder.prior  # pressed, but not so far that any is refused
+    before = policy.shedder.ratio(policy.now)
+    for number in range(100):
+        assert kinds(policy.handle(policy.now, [request(number, class_name="post")])) == ["Assign"]
+        for attempt in range(policy.settings.limits.attempts):
+            policy.handle(policy.now, [outcome(number, attempt, io.Status.UNUSED)])
+    assert policy.shedder.ratio(policy.now) == before
+
+
 def test_attempts_that_stay_out_press_before_they_are_answered() -> None:
     policy = started()
     for n in range(40):
