--- a/gingerworks/gateway/counter.py
+++ b/gingerworks/gateway/counter.py
@@ -12,7 +12,8 @@
 from gingerworks import interface as io
 from gingerworks.gateway import clock, numerals
 from gingerworks.gateway.config import Address
-from gingerworks.gateway.dial import Dial
+from gingerworks.gateway.dial import Dial, DialError, DialFailure
+from gingerworks.gateway.system_errors import SHORTAGE, TRY_AGAIN, explain
 
 REST_NS = (
     3 * clock.NS_PER_S
@@ -21,6 +22,7 @@
 CONNECT_S = 0.25
 FIRST_PAUSE_NS = 50 * clock.NS_PER_MS
 LONGEST_PAUSE_NS = clock.NS_PER_S
+SHORTAGE_PAUSE_S = 0.01  # before a write is tried again for which this host had no buffers
 MOST_CALLS = 4096  # waiting on one connection; more are turned away here
 LINE_BYTES = 256
 LONGEST_LIFE_MS = 60_000
@@ -31,19 +33,21 @@
 class Call:
     """One call; it keeps its place in the order of the answers after it was given up."""
 
-    __slots__ = ("action", "begun", "open", "timer", "written")
+    __slots__ = ("action", "begun", "line", "open", "sent", "timer")
 
     def __init__(self, action: io.Count, begun: int) -> None:
         self.action = action
         self.begun = begun
         self.open = True
-        self.written = False
+        life = min(LONGEST_LIFE_MS, max(1, action.keep_ns // clock.NS_PER_MS))
+        self.line = f"bump {action.count} {action.amount:.7f} {life}\r\n".encode()
+        self.sent = 0  # bytes of the line that the kernel has taken
         self.timer: asyncio.TimerHandle | None = None
 
-    def line(self) -> bytes:
-        """The call on the wire."""
-        life = min(LONGEST_LIFE_MS, max(1, self.action.keep_ns // clock.NS_PER_MS))
-        return f"bump {self.action.count} {self.action.amount:.7f} {life}\r\n".encode()
+    @property
+    def written(self) -> bool:
+        """Whether it may have been added."""
+        return self.sent == len(self.line)
 
 
 class Counter:
@@ -66,13 +70,13 @@
         self._socket: socket.socket | None = None
         self._dial: Dial | None = None
         self._calls: deque[Call] = deque()  # in the order of their answers
-        self._out = bytearray()  # not yet handed to the kernel
-        self._ends: deque[tuple[int, Call]] = deque()  # where in the stream of bytes each call ends
-        self._queued = self._sent = 0
+        self._unsent: deque[Call] = deque()  # those of them that are not written whole
         self._in = b""
         self._used_at = self._heard_at = 0
         self._pause_ns = FIRST_PAUSE_NS
         self._not_before = 0
+        self._away = io.Status.DIAL_FAILED  # what calls come to until then
+        self._why = ""  # there was no connection, as the operator was told last
         self._flushing = self._watching = self._retired = self._heard = False
 
     def connect(self) -> None:
@@ -80,10 +84,9 @@
         if self._socket is not None or self._dial is not None:
             return
         try:
-            self._dial = Dial(self._loop, self._address, CONNECT_S, self._connected)
-        except OSError as fault:
-            log.info("counter: no connection: %s", fault)
-            self._lost()
+            self._dial = Dial(self._loop, self._address, CONNECT_S, self._connected, self._not_connected)
+        except DialError as error:
+            self._not_connected(error)
 
     def call(self, action: io.Count) -> None:
         """Make a call; calls of one turn of the loop are written together."""
@@ -95,15 +98,12 @@
             if now >= self._not_before:
                 self.connect()
             if self._dial is None:
-                return self._end(call, io.Status.DIAL_FAILED)
+                return self._end(call, self._away)
         if len(self._calls) >= MOST_CALLS:
             return self._end(call, io.Status.SHED)
         call.timer = self._loop.call_later(self._wait_s, self._expired, call)
-        line = call.line()
         self._calls.append(call)
-        self._out += line
-        self._queued += len(line)
-        self._ends.append((self._queued, call))
+        self._unsent.append(call)
         if self._socket is not None and not self._flushing:
             self._flushing = True
             self._loop.call_soon(self._flush)
@@ -123,47 +123,88 @@
         if self._retired and not any(call.open for call in self._calls):
             self._close()
 
-    def _connected(self, sock: socket.socket | None) -> None:
+    def _connected(self, sock: socket.socket) -> None:
         self._dial = None
-        if sock is None:
-            return self._lost()
+        try:
+            self._loop.add_reader(sock.fileno(), self._readable)
+        except OSError as fault:
+            sock.close()
+            return self._not_connected(DialError.from_errno(DialFailure.LOCAL, fault.errno or 0))
         self._socket = sock
-        self._pause_ns = FIRST_PAUSE_NS
+        self._pause_ns, self._why = FIRST_PAUSE_NS, ""
         self._used_at = clock.now()
-        self._loop.add_reader(sock.fileno(), self._readable)
         return self._flush()
 
+    def _not_connected(self, error: DialError) -> None:
+        """Guards against a shortage of this host being taken for the counter's silence.
+
+        The pause does not grow with it then, and the calls tell nothing of how much the counter can take.
+        """
+        self._dial = None
+        if str(error) != self._why:  # one line for each trouble, however long it lasts
+            self._why = str(error)
+            log.info("counter: no connection: %s", error)
+        if error.failure is DialFailure.UNREACHABLE:
+            return self._lost()
+        self._pause(FIRST_PAUSE_NS, io.Status.UNUSED)
+        return self._drop(io.Status.UNUSED)
+
     def _flush(self) -> None:
         self._flushing = False
-        if self._socket is None or not self._out:
+        if self._socket is None:
             return
+        if not self._unsent:
+            return self._watch_writable(False)
         try:
-            sent = self._socket.send(self._out)
-        except BlockingIOError:
+            sent = self._socket.send(b"".join(call.line[call.sent :] for call in self._unsent))
+        except (BlockingIOError, InterruptedError):
             sent = 0
         except OSError as fault:
-            log.info("counter: connection broke: %s", fault)
+            if fault.errno in SHORTAGE:
+                return self._flush_later()
+            log.info("counter: connection broke: %s", explain(fault.errno or 0))
             return self._lost()
         self._used_at = clock.now()
-        del self._out[:sent]
-        self._sent += sent
-        while self._ends and self._ends[0][0] <= self._sent:
-            self._ends.popleft()[1].written = True
-        if bool(self._out) != self._watching:
-            self._watching = bool(self._out)
-            if self._watching:
-                self._loop.add_writer(self._socket.fileno(), self._flush)
-            else:
-                self._loop.remove_writer(self._socket.fileno())
-        return None
+        self._taken(sent)
+        return self._watch_writable(bool(self._unsent))
+
+    def _taken(self, size: int) -> None:
+        """The kernel has taken so many bytes of what is unsent."""
+        while size:
+            call = self._unsent[0]
+            part = min(size, len(call.line) - call.sent)
+            call.sent += part
+            size -= part
+            if call.written:
+                self._unsent.popleft()
+
+    def _flush_later(self) -> None:
+        """Guards against a spin: a socket counts as writable while this host has no buffers for it.
+
+        The connection is kept: with its end each call that is out would count as one that may have been
+        added.
+        """
+        self._watch_writable(False)
+        self._flushing = True
+        self._loop.call_later(SHORTAGE_PAUSE_S, self._flush)
+
+    def _watch_writable(self, wanted: bool) -> None:
+        if wanted == self._watching:
+            return
+        assert self._socket is not None
+        self._watching = wanted
+        if wanted:
+            self._loop.add_writer(self._socket.fileno(), self._flush)
+        else:
+            self._loop.remove_writer(self._socket.fileno())
 
     def _readable(self) -> None:
         assert self._socket is not None
         try:
             data = self._socket.recv(65536)
-        except BlockingIOError:
-            return
-        except OSError:
+        except OSError as fault:
+            if fault.errno in TRY_AGAIN:
+                return  # the connection lives, and what has come stays in the kernel
             data = b""
         if not data:
             return self._lost()
@@ -205,7 +246,11 @@
         return True
 
     def _expired(self, call: Call) -> None:
-        self._end(call, io.Status.EXPIRED if call.written else io.Status.DIAL_FAILED)
+        # Guards against a call that was told as not added being written, and added, later on.
+        if not call.sent and call in self._unsent:
+            self._unsent.remove(call)
+            self._calls.remove(call)
+        self._end(call, io.Status.EXPIRED if call.sent else io.Status.DIAL_FAILED)
         # Guards against a connection that fell silent being waited on by one call after the other.  One that
         # is answered late, as by a counter with much to do, is kept: all calls would be late on any.
         if self._socket is not None and self._calls and self._calls[0].written:
@@ -224,14 +269,23 @@
         self._told(io.Counted(call.action.count, status, level, clock.now() - call.begun))
 
     def _lost(self) -> None:
-        """The connection is no more: tell each call what became of it; the next call makes a new one."""
-        calls, heard = list(self._calls), self._heard
-        self._close()
-        if not heard:  # on a connection that was answered a reset is no sign of a counter that is away
-            self._not_before = clock.now() + int(self._pause_ns * (0.5 + self._rng.random()))
+        """The connection is no more; the next call makes a new one."""
+        if not self._heard:  # on a connection that was answered a reset is no sign of a counter that is away
+            self._pause(self._pause_ns, io.Status.DIAL_FAILED)
             self._pause_ns = min(LONGEST_PAUSE_NS, 2 * self._pause_ns)
+        self._drop(io.Status.DIAL_FAILED)
+
+    def _pause(self, about_ns: int, status: io.Status) -> None:
+        """Dial no sooner than after about this time; calls come to ``status`` until then."""
+        self._not_before = clock.now() + int(about_ns * (0.5 + self._rng.random()))
+        self._away = status
+
+    def _drop(self, never_written: io.Status) -> None:
+        """End the connection and tell each call what became of it."""
+        calls = list(self._calls)
+        self._close()
         for call in calls:
-            self._end(call, io.Status.EXPIRED if call.written else io.Status.DIAL_FAILED)
+            self._end(call, io.Status.EXPIRED if call.written else never_written)
 
     def _close(self) -> None:
         if self._dial is not None:
@@ -243,8 +297,6 @@
             self._socket.close()
             self._socket = None
         self._calls.clear()
-        self._ends.clear()
-        self._out.clear()
-        self._queued = self._sent = 0
+        self._unsent.clear()
         self._in = b""
         self._watching = self._heard = False
--- a/gingerworks/policy/driver.py
+++ b/gingerworks/policy/driver.py
@@ -310,11 +310,12 @@
         self.shedder.shift(-1 * attempt.counted, self.now)
         attempt.may_have_run = not outcome.status.never_ran
         self.servers.answered(attempt.backend, outcome, kind, self.now)
-        # Slow answers and turned-away attempts tell of load; broken connections and errors do not.
+        # Slow answers and turned-away attempts tell of load; broken connections and errors do not, and
+        # what never left tells nothing at all.
         target = self.servers.target(kind)
         if outcome.status is io.Status.SHED:
             self.shedder.spent += PATIENCE_MEANS * target
-        elif outcome.status is not io.Status.EXPIRED:
+        elif outcome.status not in (io.Status.EXPIRED, io.Status.UNUSED):
             self.shedder.allowed += target
 
     def _settle_units(self, inflight: InFlight[Customer], outcome: io.Outcome) -> None:
@@ -326,8 +327,8 @@
 
     def again(self, inflight: InFlight[Customer], outcome: io.Outcome) -> None:
         """Nothing is out any more: try once more or give the final answer."""
-        # A cancelled one was paid for; one that found nobody there has cost no server anything.
-        free = outcome.status in (io.Status.CANCELLED, io.Status.DIAL_FAILED)
+        # A cancelled one was paid for; one that found nobody there or never left has cost no server anything.
+        free = outcome.status in (io.Status.CANCELLED, io.Status.DIAL_FAILED, io.Status.UNUSED)
         cost = 0.0 if free else 1.0
         left = inflight.deadline - self.now > 2 * self.settings.tick_ns
         backend = self.choose(inflight) if left and self.retry_budget.covers(cost) else None
--- a/tests/test_shutdown_deadline.py
+++ b/tests/test_shutdown_deadline.py
@@ -369,6 +369,7 @@
             await asyncio.sleep(0.01)
         termination = Termination(made, 2.5)
         await termination.moment(1.5)
+        assert not made.frontend.finished.is_set()  # the process would end, and the answer with it
         reader, writer = await asyncio.open_connection(sock=sock)
         assert (await read_message(reader)).endswith(body)
         writer.close()
