Count a server's start from when it was learned, so that no clock step makes it warm

Cause: gateway/clock.py:14 takes the offset to Unix time once, from the wall clock of this machine, and policy/servers.py:71-77 compares since_ms with it. A gateway that starts after its clock was stepped ahead took a server that had just started for warm; after a step back it kept a warm one cold for as long as the step.

Ruled out: a Date header (discovery's agent runs on the gateway's own machine, so it has the same clock); the counter (it tells totals, no times); a lower bound for the true time from the largest since_ms (one wrong entry in the future would make all other cold servers warm); steps while a process runs (the wall clock is read once, by one module: shown by tests that pass on the old code as well).

Change: gateway/server_starts.py. Once discovery has answered, a name that is new, or whose since_ms has changed, has started as of the monotonic moment at which this process learned it. What the first list names keeps since_ms, but not later than now. A jump of since_ms to 0 is no news, a name that was left out for a while and is back with its since_ms is not new.

What it costs with true clocks: a list that comes late holds a server for cold for longer by so much.

Left open: with a clock that is ahead, a server of the first list that started shortly before looks warm until it is. Nothing in the protocol tells that it is not.

--- a/gingerworks/gateway/runtime.py
+++ b/gingerworks/gateway/runtime.py
@@ -15,6 +15,7 @@
 from gingerworks.gateway.config import Address, Config
 from gingerworks.gateway.counter import Counter
 from gingerworks.gateway.discovery import Change
+from gingerworks.gateway.server_starts import ServerStarts
 from gingerworks.policy import Policy
 
 MARGIN_NS = 20 * clock.NS_PER_MS  # of the client's wait: for the way there and back and a busy loop
@@ -66,6 +67,7 @@
         self._loop = loop
         self._config = config
         self._backends = backends
+        self._starts = ServerStarts()
         self._policy = Policy(config.seed, config.settings, clock.now())
         self._rng = random.Random(config.seed)
         self._kinds = {kind.name: kind for kind in config.settings.classes}
@@ -137,6 +139,7 @@
 
     def listed(self, change: Change, cached: bool = False) -> None:
         """Discovery, or what was known at the start, tells of servers."""
+        change = self._starts.corrected(change, cached)
         self._backends.changed(change)
         mode = io.ListMode.CACHED if cached else io.ListMode.FULL if change.full else io.ListMode.DELTA
         self._post(io.ServersChanged(mode, tuple(endpoint.server for endpoint in change.endpoints)))
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -220,12 +220,14 @@
 class Process:
     """A gateway in a process of its own, as the deploy file runs it; killed at the end of the block."""
 
-    def __init__(self, folder: Path, config: dict[str, Any], **environment: str) -> None:
+    def __init__(
+        self, folder: Path, config: dict[str, Any], module: str = "gingerworks.gateway", **environment: str
+    ) -> None:
         file, self._log = folder / f"{config['name']}.json", folder / f"{config['name']}.log"
         file.write_text(json.dumps(config))
         with self._log.open("wb") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "gingerworks.gateway"],
+                [sys.executable, "-m", module],
                 env={**os.environ, "NODE_CONFIG": str(file), **environment},
                 cwd=Path(__file__).parent.parent,
                 stderr=log,
