Share no quota by a clock that two lists of starts disprove; split it evenly instead

Cause: policy/customer.py count_name makes the names of shared counts from the time, which gateway/clock.py:14 sets by this machine's wall clock at the start. A gateway whose clock was stepped by a minute or more counts under names of its own and grants a quota a second time; runtime.py _count called the counter all the same.

Clocks that are all an hour off alike change nothing.

Change: gateway/clock_check.py. If every start that a list tells of lies more than 60 s in the past or 1 s in the future, and again with the next list of starts, the clock is wrong: the counter's calls fail at once, as where it refuses, and an error tells the operator. A start whose time fits ends that. One list does not count, as it may come after an outage of discovery, or name a server whose own clock is wrong.

The new test over sockets fails on the old code for both steps: the third customer's request still calls the counter.

--- a/gingerworks/gateway/runtime.py
+++ b/gingerworks/gateway/runtime.py
@@ -302,7 +302,8 @@
             self._loop.call_later(math.ceil(left / clock.NS_PER_MS) / 1000, self._alarm, due, token)
 
     def _count(self, action: io.Count) -> None:
-        if self.counter is not None:
+        # Guards against a second quota under names that this machine's clock alone gives the counts.
+        if self.counter is not None and self._starts.clock_check.agrees:
             self.counter.call(action)
         else:
             self._post(io.Counted(action.count, io.Status.DIAL_FAILED, 0.0, 0))
--- a/gingerworks/gateway/server_starts.py
+++ b/gingerworks/gateway/server_starts.py
@@ -13,6 +13,7 @@
 
 from gingerworks import interface as io
 from gingerworks.gateway import clock
+from gingerworks.gateway.clock_check import ClockCheck
 from gingerworks.gateway.discovery import SERVERS_MOST, Change, Endpoint
 
 
@@ -31,6 +32,8 @@
         self._listed: dict[str, Start] = {}
         self._unlisted: dict[str, Start] = {}  # they may be listed again without a new start
         self._followed = False  # discovery has answered: what differs from now on has changed since
+        self._new: list[int] = []  # the stated starts that the present list has told of
+        self.clock_check = ClockCheck()
 
     def corrected(self, change: Change, cached: bool) -> Change:
         """The same change with start times on this gateway's clock.
@@ -38,10 +41,12 @@
         ``cached``: the list is the one known before the start, so that it does not tell what is new.
         """
         now = clock.now()
+        self._new = []
         if change.full:
             self._unlist(self._listed.keys() - {endpoint.server.name for endpoint in change.endpoints})
         endpoints = tuple(self._corrected(endpoint, now) for endpoint in change.endpoints)
         self._followed = self._followed or not cached
+        self.clock_check.learned(self._new, now)
         return replace(change, endpoints=endpoints)
 
     def _corrected(self, endpoint: Endpoint, now: int) -> Endpoint:
@@ -64,6 +69,7 @@
             return Start(0, 0)
         if not self._followed:
             return Start(stated_ns, min(stated_ns, now))
+        self._new.append(stated_ns)
         return Start(stated_ns, now)
 
     def _unlist(self, names: Set[str]) -> None:
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -24,6 +24,7 @@
 UNITS = (1.0, 2.0, 3.0, 4.0, 5.0, 6.0)
 UNIT_WEIGHTS = (0.5, 0.22, 0.12, 0.08, 0.05, 0.03)
 HOT_CUSTOMERS = 2
+CEILING_ALLOWANCE_S = 0.15  # of the ceiling's rate: what the protocol adds to the slack on sockets
 CLASSES = (
     replace(SAFE, name="cheap", aim_ns=2500 * MS, deadline_ns=DEADLINE_NS, worth=1.0),
     replace(SAFE, name="quick", aim_ns=600 * MS, deadline_ns=1500 * MS, worth=3.0),
@@ -74,6 +75,8 @@
     seconds: int = 23
     class_worths: tuple[float, ...] = (1.0, 3.0, 3.0)
     marks_retry: bool = True
+    clock_steps_ns: tuple[int, ...] = ()  # how far the wall clocks of the first gateways were stepped before
+    without_counter: int = 0  # so many of the first gateways call no counter
 
 
 class Store:
@@ -94,6 +97,23 @@
         return inside
 
 
+class Ceiling:
+    """How far a customer's use went over its ceiling: the burst, the refill since, and the slack."""
+
+    def __init__(self, of: io.Plan) -> None:
+        self.rate = of.ceiling_rate
+        self.room = self.most = of.ceiling_burst + of.ceiling_slack + CEILING_ALLOWANCE_S * of.ceiling_rate
+        self.at, self.beyond = 0, 0.0
+
+    def take(self, units: float, now: int) -> None:
+        """Note use that was sent on, whether the ceiling holds or not."""
+        if self.rate <= 0:
+            return
+        self.room = min(self.most, self.room + self.rate * (now - self.at) / SECOND) - units
+        self.at = now
+        self.beyond = max(self.beyond, -self.room)
+
+
 @dataclass(frozen=True)
 class Habit:
     """How often a customer asks, in requests a second: as usual, or more in spikes that come regularly."""
@@ -124,6 +144,7 @@
     habit: Habit
     store: Store
     ideal: Store  # as it would be if one gateway saw all first tries
+    ceiling: Ceiling
     gateways: list[int] = field(default_factory=list)
     weights: list[float] = field(default_factory=list)
 
@@ -156,6 +177,7 @@
     first_tries: int = 0
     calls: int = 0
     calls_unanswered: int = 0
+    beyond_ceiling: float = 0.0  # units, of the customer that was furthest over its ceiling
     served_by: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
     offered_by: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
 
@@ -180,6 +202,9 @@
 
     def call(self, now: int, gateway: Gateway, action: io.Count) -> None:
         day, rng = self.fleet.day, self.fleet.rng
+        if gateway.me < day.without_counter:
+            gateway.later(now, io.Counted(action.count, io.Status.DIAL_FAILED, 0.0, 0))
+            return
         self.fleet.result.calls += 1
         way = int(rng.uniform(0.2, 1.4) * MS)
         comes = now + way
@@ -216,7 +241,7 @@
     """One module, the tries it has open and its timers."""
 
     def __init__(self, me: int, fleet: Fleet) -> None:
-        self.fleet = fleet
+        self.me, self.fleet = me, fleet
         day = fleet.day
         mine = settings(
             me=me,
@@ -227,7 +252,11 @@
             classes=fleet.classes,
             plans=tuple(of for of, _ in day.plans),
         )
-        self.policy = Policy(fleet.rng.getrandbits(48), mine, 0)
+        # Its own clock differs from the model's time by its step; all clocks are past the largest step back.
+        self.ahead_ns = (day.clock_steps_ns[me] if me < len(day.clock_steps_ns) else 0) - min(
+            (0, *day.clock_steps_ns)
+        )
+        self.policy = Policy(fleet.rng.getrandbits(48), mine, self.ahead_ns)
         self.asks: dict[int, Ask] = {}
         self.sent: set[int] = set()
         self.handle(0, listing(server("s1"), server("s2")))
@@ -236,7 +265,7 @@
         self.fleet.at(at, lambda now: self.handle(now, event))
 
     def handle(self, now: int, *events: io.Event) -> None:
-        for action in self.policy.handle(now, events):
+        for action in self.policy.handle(now + self.ahead_ns, events):
             match action:
                 case io.Assign():
                     self.assigned(now, action)
@@ -293,7 +322,7 @@
         habit = self.habit(quota)
         self.usual += habit.usual
         first = rng.randrange(day.gateways)
-        one = Tenant(f"{of.name}-{number}", of, first, spread, habit, Store(of), Store(of))
+        one = Tenant(f"{of.name}-{number}", of, first, spread, habit, Store(of), Store(of), Ceiling(of))
         self.shift(0, one)
         self.at(int(rng.expovariate(habit.peak) * SECOND), lambda now: self.arrive(now, one))
         return one
@@ -375,6 +404,8 @@
     def sent_on(self, now: int, ask: Ask) -> None:
         result, tenant = self.result, ask.tenant
         inside = tenant.store.take(ask.units, now)
+        tenant.ceiling.take(ask.units, now)
+        result.beyond_ceiling = max(result.beyond_ceiling, tenant.ceiling.beyond)
         result.units_sent += ask.units
         if inside:
             result.served += ask.worth
--- a/tests/test_wall_clock_steps.py
+++ b/tests/test_wall_clock_steps.py
@@ -336,6 +336,60 @@
         writer.write(b"ok 1\r\n" if line.startswith(b"bump") else b"pong\r\n")
 
 
+async def sharing(discovery: Discovery, counter: Peer, server: HoldingServer) -> Gateway:
+    """A gateway that shares quotas by a counter and has heard the first list."""
+    made = gateway(
+        discovery=discovery.place,
+        known=listing(entry("s", server.peer.address)),
+        counter=f"{counter.address[0]}:{counter.address[1]}",
+        settings=SETTINGS | {"specifics": SETTINGS["specifics"] | {"has-counter": True}},
+    )
+    client = await Client.to(made)
+    assert (await client.send(ask()))[0] == 200  # it takes in clients once it has the first list
+    return made
+
+
+async def calls_for(made: Gateway, counter: Peer, customer: int) -> int:
+    """Calls of the counter that the first request of a customer causes: the even share does not cover it."""
+    before = len(counter.requests)
+    heavy = ask(X_Contract="small", X_Metering="units=6,spread=3,first=1")
+    heavy = heavy.replace(b"00000000b4d65521", b"%016x" % customer)
+    status, _, _ = await (await Client.to(made)).send(heavy)
+    assert status in (200, 429)
+    return sum(line.startswith(b"bump") for line in counter.requests[before:])
+
+
+@pytest.mark.parametrize("step_s", [0, HOUR_S, -HOUR_S])
+def test_a_clock_that_two_lists_of_starts_disprove_names_no_shared_counts(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, step_s: int
+) -> None:
+    step_before_start(monkeypatch, step_s)
+
+    async def scenario() -> None:
+        counter, server = await Peer(counting).start(), HoldingServer()
+        await server.peer.start()
+        discovery = await Discovery(entry("s", server.peer.address)).start()
+        made = await sharing(discovery, counter, server)
+        counts = [await calls_for(made, counter, 1) > 0]
+        for number in (1, 2):
+            discovery.tell(entry(f"new{number}", NOBODY, "Terminating", unix_ms()))
+            await until(lambda name=f"new{number}": knows(made, name))  # type: ignore[misc]
+            counts.append(await calls_for(made, counter, 1 + number) > 0)
+        assert counts == [True, True, step_s == 0]
+        # A start whose time fits, as after the servers' clocks were set, not this machine's: shared again.
+        discovery.tell(entry("new3", NOBODY, "Terminating", clock.now() // clock.NS_PER_MS))
+        await until(lambda: knows(made, "new3"))
+        assert await calls_for(made, counter, 4) > 0
+
+    run(scenario())
+    errors = [record.getMessage() for record in caplog.records if record.levelname == "ERROR"]
+    errors = [text for text in errors if "clock" in text]
+    assert len(errors) == (step_s != 0)
+    for text in errors:
+        assert ("ahead of" if step_s > 0 else "behind") in text
+        assert "restart this gateway" in text
+
+
 @pytest.mark.parametrize("step_s", STEPS_S)
 def test_a_step_in_a_running_process_reaches_nothing(monkeypatch: pytest.MonkeyPatch, step_s: int) -> None:
     """Slow start, the names of counts, deadlines and the ids seen of late run on as if nothing had been."""
