Land a known red test: one gateway's stepped wall clock lets ceilings break

Cause: names of shared counts and what has been refilled since a count began come from each gateway's own wall clock (policy/customer.py, count_name and reading). One that counts apart passes what is set apart under a ceiling once more.

--- a/tests/test_wall_clock_counts.py
+++ b/tests/test_wall_clock_counts.py
@@ -56,6 +56,12 @@
     assert play(1, *[HOUR] * GATEWAYS) == play(1)
 
 
+@pytest.mark.parametrize("step_ns", [-3 * SECOND, HOUR, -HOUR])
+def test_ceilings_hold_though_one_gateways_wall_clock_was_stepped(step_ns: int) -> None:
+    """Known to fail, see KNOWN-RED.txt: whoever counts apart may pass what is set apart once more."""
+    assert play(2, step_ns).beyond_ceiling == 0.0
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_ceilings_hold_where_a_gateway_with_another_clock_calls_no_counter(seed: int) -> None:
     """What a gateway does once the starts of servers have disproved its clock."""
