Force more states on the shutdown's deadline: retries, the counter, a reload, real processes

Retries and hedges pending, a request that waits for the counter, a reload, a process held up as the answers are due, and six real processes under SIGTERM with servers that hang.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -246,6 +246,18 @@
         self._process.kill()
         self._process.wait()
 
+    def terminate(self) -> None:
+        """SIGTERM."""
+        self._process.terminate()
+
+    def wait(self) -> int:
+        """Wait for its end; the exit code."""
+        return self._process.wait(PATIENCE_S)
+
+    def exit_code(self) -> int | None:
+        """None while it runs."""
+        return self._process.poll()
+
     def log(self) -> str:
         """All that it has said."""
         return self._log.read_text()
--- a/tests/test_shutdown_deadline.py
+++ b/tests/test_shutdown_deadline.py
@@ -9,22 +9,37 @@
 import contextlib
 import copy
 import itertools
+import json
 import re
 import socket
 from collections.abc import Callable, Coroutine
+from pathlib import Path
 from typing import Any
 
 import pytest
 
+from gingerworks import interface as io
 from gingerworks.gateway import clock
 from gingerworks.gateway.__main__ import Gateway
 from gingerworks.gateway.dial import Dial
-from tests import virtual_time
-from tests.loopback import SETTINGS, Peer, Reader, Writer, answering, ask, gateway, read_message
+from tests import loopback, virtual_time
+from tests.loopback import (
+    SETTINGS,
+    Peer,
+    Process,
+    Reader,
+    Writer,
+    answering,
+    ask,
+    gateway,
+    raw_config,
+    read_message,
+)
+from tests.support import MS, SECOND, outcome, request, served, started
 
 KILL_DELAY_S = 0.7
 COUNTED_MOST_S = 3.0
-SLACK_S = 0.15  # of the time that an attempt tells its server
+HELD_UP_S = 0.14  # a gateway may be held up for 0.15 s between its clock and a write
 UNIX_NS = 1_700_000_000 * clock.NS_PER_S
 
 
@@ -153,8 +168,8 @@
         assert late.answered_s < termination.kill_s
         assert status in (429, 502, 503)
         assert status == 502 or b"Retry-After" in head
-        for request in server.requests:
-            assert late.sent_s + told_s(request) < termination.kill_s
+        for forwarded in server.requests:
+            assert late.sent_s + told_s(forwarded) < termination.kill_s
         await termination.ended()
 
     play(scenario())
@@ -403,3 +418,153 @@
         await termination.ended()
 
     play(scenario())
+
+
+def test_a_process_held_up_as_the_answers_are_due_gives_them_ahead_of_sigkill() -> None:
+    async def scenario() -> None:
+        server = await hanging()
+        made = gateway(server.address, settings=settings(8.0))
+        made.frontend.accept()
+        sender = await Sender.to(made)
+        sender.send(ask("post", left="8.000"))
+        await asyncio.sleep(0.01)
+        termination = Termination(made, 8.0)
+        schedule = made.frontend._shutdown.schedule
+        hold_loop_until((schedule.answers_due_ns - UNIX_NS) / clock.NS_PER_S + HELD_UP_S)
+        assert (await sender.answer())[0] == 502
+        assert sender.answered_s < termination.kill_s
+        await termination.ended()
+
+    play(scenario())
+
+
+def test_a_request_that_waits_for_the_counter_is_refused_by_the_deadline_and_not_forwarded() -> None:
+    async def scenario() -> None:
+        server, counter = await hanging(), await silent_counter()
+        changed = settings(8.0)
+        changed["specifics"] |= {"has-counter": True, "count-wait-ns": 6 * clock.NS_PER_S}
+        place = f"{counter.address[0]}:{counter.address[1]}"
+        made = gateway(server.address, settings=changed, counter=place)
+        made.frontend.accept()
+        sender = await Sender.to(made)
+        sender.send(ask("post", left="8.000", X_Contract="small", X_Metering="units=6,spread=3,first=1"))
+        await asyncio.sleep(0.01)
+        assert counter.requests
+        termination = Termination(made, 8.0)
+        status, head = await sender.answer()
+        assert status == 429
+        assert b"Retry-After" in head
+        assert sender.answered_s < termination.kill_s
+        assert server.requests == []
+        await termination.ended()
+
+    play(scenario())
+
+
+def test_a_reload_leaves_the_shutdown_as_it_is(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        server = await hanging()
+        made = gateway(server.address, settings=settings(1.0))
+        made.frontend.accept()
+        sender = await Sender.to(made)
+        sender.send(ask("post", left="1.000"))
+        await asyncio.sleep(0.01)
+        termination = Termination(made, 1.0)
+        schedule = made.frontend._shutdown.schedule
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps(raw_config(server.address, settings=settings(60.0))))
+        made.reload({"NODE_CONFIG": str(file)})
+        assert made.frontend._shutdown.schedule is schedule
+        await termination.moment(0.35)
+        late = await Sender.to(made)
+        await termination.moment(0.9)
+        late.send(ask("post", left="1.000"))
+        for one in (sender, late):
+            assert (await one.answer())[0] == 502
+            assert one.answered_s < termination.kill_s
+        await termination.ended()
+
+    play(scenario())
+
+
+@pytest.mark.parametrize(("ended", "answer"), [(io.Status.DROPPED, io.Decline), (io.Status.SHED, io.Decline)])
+def test_no_retry_begins_that_the_shutdown_leaves_no_time(ended: io.Status, answer: type) -> None:
+    policy = started()
+    policy.handle(0, [request(1)])
+    due = SECOND
+    policy.handle(MS, [io.ShutdownStarted(due)])
+    actions = policy.handle(due - 3 * MS, [outcome(1, 0, ended)])
+    assert not [action for action in actions if isinstance(action, io.Assign)]
+    assert isinstance(actions[0], answer)
+
+
+def test_a_retry_or_hedge_during_the_shutdown_has_no_more_time_than_it_leaves() -> None:
+    for late in (outcome(1, 0, io.Status.DROPPED), io.Timer(0)):
+        policy = started()
+        for number in range(10, 40):  # the servers are well: a late answer is worth a hedge
+            policy.handle(0, [request(number)])
+            policy.handle(0, [served(number)])
+        policy.handle(0, [request(1)])
+        due = 2 * SECOND
+        policy.handle(MS, [io.ShutdownStarted(due)])
+        now = due - SECOND
+        assigns = [action for action in policy.handle(now, [late]) if isinstance(action, io.Assign)]
+        assert [action.timeout_ns for action in assigns] == [due - now]
+
+
+def test_a_request_that_the_shutdown_does_not_cut_is_decided_as_always() -> None:
+    policy = started()
+    policy.handle(0, [io.ShutdownStarted(SECOND)])
+    (assign,) = [a for a in policy.handle(1, [request(1, ttl_ns=SECOND // 10)]) if isinstance(a, io.Assign)]
+    assert assign.timeout_ns == SECOND // 10
+
+
+GATEWAYS = 6
+
+
+def test_processes_that_are_told_to_end_answer_all_that_comes_late_and_end(tmp_path: Path) -> None:
+    # On the kernel's sockets and signals, with servers that hang all through; no bound on time is tight here.
+    async def scenario() -> None:
+        server = await hanging()
+        configs = [
+            raw_config(server.address, name=f"n{number}", settings=settings(0.5))
+            for number in range(GATEWAYS)
+        ]
+        with contextlib.ExitStack() as stack:
+            processes = [stack.enter_context(Process(tmp_path, config)) for config in configs]
+            for process in processes:
+                await process.listening()
+            answered = await asyncio.gather(*(end_under_load(process) for process in processes))
+            assert [process.exit_code() for process in processes] == [0] * GATEWAYS
+            assert min(answered) >= 2
+
+    loopback.run(scenario())
+
+
+async def end_under_load(process: Process) -> int:
+    """SIGTERM under requests on several connections, which go on coming; the answers that came."""
+    early = await loopback.Client.at(process.address)
+    assert (await early.send(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200
+    late = await loopback.Client.at(process.address)
+    early.writer.write(ask("post", left="0.500"))
+    late.writer.write(ask("look", left="0.500")[:30])  # half of it: this connection is not idle
+    await asyncio.sleep(0)
+    process.terminate()
+    newcomer = await loopback.Client.at(process.address)
+    newcomer.writer.write(ask("post", left="0.500"))
+    answers = [await one.answer() for one in (early, newcomer, late)]
+    assert all(status in (200, 429, 502, 503) for status, _, _ in answers)
+    for one in (early, newcomer, late):
+        assert await one.reader.read() == b""
+    await asyncio.to_thread(process.wait)
+    return len(answers)
+
+
+async def silent_counter() -> Peer:
+    """A counter that takes calls and answers none."""
+
+    async def script(peer: Peer, reader: Reader, writer: Writer) -> None:
+        while line := await reader.readline():
+            peer.requests.append(line)
+
+    return await Peer(script).start()
