Hold the budget of cold servers in fleets of any size: each request is shared out once

Causes, all in gingerworks/policy/servers.py as it was: - fill_slow_starts multiplied the rate just after a request, `self.rate * ... + 0.5`, by the whole gap before it. With one request in g seconds that is 0.5 g requests instead of one: five times the share at one in ten seconds. - `if self.taken >= SEEN_ENOUGH` left gateways that had seen fewer than twenty answers without any bound: new ones, and for good those of less than a request in three seconds. A fleet cold as a whole got all of their load. - Every pick counted as load, also up to six in a row for one request while all servers refused connections, which a server back cold had to pay for. Hedges: not tried.

Change: `unshared` holds the requests not yet counted in what cold servers get; each is counted once, over about the same two seconds as before, and one that met nobody is taken back. A gateway that has seen too few answers takes its load to be what the servers could bear if all were warm.

Tests: tests/test_slow_start_budget.py, fleets of 1 to 200 gateways. Taking back each of the three mends alone makes the test of that mend fail. On this one all pass, as does the whole suite.

--- a/gingerworks/policy/servers.py
+++ b/gingerworks/policy/servers.py
@@ -16,6 +16,7 @@
 MEAN_GAIN = 0.005  # of mean answer times: two hundred answers, as a chance dip would set the floor low
 SEEN_ENOUGH = 20  # answers: a mean of fewer is no floor, it may be far too short
 TAKEN_NS = 60 * SECOND  # memory of what a warm server takes: it hardly changes, and some gateways see little
+SHARING_NS = 2 * SECOND  # a request counts in what cold servers get for about so long: evenly, after bursts
 SPEED_MEMORY = 20.0  # mean answer times over which a server's speed is remembered
 STRAIN = 1.25  # answer time allowed, in answer times of the unpressed back end: the cores are busy then
 MET_NS = 10 * SECOND  # after an answer its connection is likely kept for so long
@@ -49,7 +50,7 @@
         self.means = {c.name: c.aim_ns * 0.2 for c in settings.classes}
         self.bases = dict(self.means)
         self.seen = {c.name: 0 for c in settings.classes}
-        self.rate, self.rate_at = 0.0, now
+        self.unshared, self.shared_at = 0.0, now  # requests not yet counted in what cold servers get
         self.taken = self.stood = 0.0  # answers, and the seconds of a warm server in which they came
 
     def changed(self, event: io.ServersChanged, now: int) -> None:
@@ -78,27 +79,37 @@
 
     def fill_slow_starts(self, now: int) -> None:
         """Rule 4: a cold server gets from each gateway its warmth's share of what a warm one gets."""
-        ready = [b for b in self.backends.values() if b.entry.phase is io.Phase.READY]
-        for b in ready:
-            b.warmth = self.warmth(b, now)
-        total = sum(b.warmth for b in ready)
-        gone, self.rate_at = now - self.rate_at, now
-        # The rate of about the last two seconds.
-        self.rate = self.rate * math.exp(-gone / (2 * SECOND)) + 0.5
-        fade = math.exp(-gone / TAKEN_NS)
-        self.taken, self.stood = self.taken * fade, self.stood * fade + total * gone / SECOND
-        each = self.rate / max(1.0, total)
+        ready = [backend for backend in self.backends.values() if backend.entry.phase is io.Phase.READY]
+        for backend in ready:
+            backend.warmth = self.warmth(backend, now)
+        total = sum(backend.warmth for backend in ready)
+        elapsed = now - self.shared_at
+        fade = math.exp(-elapsed / TAKEN_NS)
+        self.taken, self.stood = self.taken * fade, self.stood * fade + total * elapsed / SECOND
+        for backend in ready:
+            if backend.warmth < 1.0:
+                since = max(backend.slow_start_at, self.shared_at)
+                backend.slow_start.refill(backend.warmth * self._warm_share(now - since, total, len(ready)))
+            backend.slow_start_at = now
+        self.unshared *= math.exp(-elapsed / SHARING_NS)
+        self.shared_at = now
+
+    def _warm_share(self, elapsed: int, total: float, servers: int) -> float:
+        """Requests that a warm server gets from this gateway meanwhile; ``total``: all servers' warmth."""
+        # Each request is shared out once.  Guards against a gateway of few requests multiplying its rate
+        # just after one, the highest, by the long gap before it: together they sent several times the share.
+        requests = self.unshared * -math.expm1(-elapsed / SHARING_NS)
         # Guards against a fleet that is cold as a whole getting all load and further attempts: what gateways
-        # see answered is, in sum, within what warm servers take.  Too few answers tell nothing.
-        if self.taken >= SEEN_ENOUGH:
-            each = min(each, self.settings.rules.overload_factor * self.taken / max(SLIVER, self.stood))
-        for b in ready:
-            if b.warmth < 1.0:
-                b.slow_start.refill(each * b.warmth * (now - b.slow_start_at) / SECOND)
-            b.slow_start_at = now
+        # see answered is, in sum, within what warm servers take.  Too few answers tell nothing: then the
+        # load is taken to be no more than the servers could bear if all were warm.
+        if self.taken < SEEN_ENOUGH:
+            return requests / servers
+        most = self.settings.rules.overload_factor * self.taken / max(SLIVER, self.stood)
+        return min(requests / max(1.0, total), most * elapsed / SECOND)
 
     def pick(self, now: int, mean: float, allowed: Iterable[Backend], tried: Sequence[str]) -> Backend | None:
         """The server with the shortest expected wait."""
+        self.unshared += 1.0
         self.fill_slow_starts(now)
         ready = (b for b in allowed if b.entry.phase is io.Phase.READY)
         fit = [b for b in ready if b.warmth >= 1.0 or b.slow_start.covers(1.0)]
@@ -142,6 +153,8 @@
         if outcome.status is io.Status.DELIVERED:
             self._delivered(backend, outcome.elapsed_ns, kind, now)
         elif outcome.status is io.Status.DIAL_FAILED:
+            # Guards against a fleet that is down counting as load: a further attempt takes this one's place.
+            self.unshared = max(0.0, self.unshared - 1.0)
             self._avoid_unreachable(backend, now)
         elif outcome.status not in (io.Status.CANCELLED, io.Status.UNUSED):
             self._eject(backend, kind, now)
