Give the table of clients' connections a module of its own

The front end held the listener, the table with its states and evictions, the checks and the shutdown in one class. No change in behaviour; tests name the table's fields as they are now.

--- a/gingerworks/gateway/frontend.py
+++ b/gingerworks/gateway/frontend.py
@@ -1,4 +1,4 @@
-"""The clients' side: the listening socket, the table of connections with its bounds, and the graceful end."""
+"""The clients' side: the listening socket, what their connections ask for, and the graceful shutdown."""
 
 from __future__ import annotations
 
@@ -6,13 +6,13 @@
 import logging
 import select
 import socket
-from collections.abc import Callable, Coroutine, Iterable
-from itertools import islice
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from gingerworks import interface as io
 from gingerworks.gateway import clock
 from gingerworks.gateway.client import ClientConnection
+from gingerworks.gateway.client_table import ClientTable
 from gingerworks.gateway.config import Address
 from gingerworks.gateway.requests import Checks, Message, Refusal
 from gingerworks.gateway.runtime import Runtime
@@ -24,9 +24,7 @@
 READ_BYTES = 16 * 1024  # at a time, from one client
 BODIES_BYTES = 8 << 20  # of all requests that are read or held
 ACCEPT_AT_ONCE = 64
-EVICT_AT_ONCE = 8
 ACCEPT_PAUSE_S = 0.02
-GRACE_NS = 50 * clock.NS_PER_MS  # for a new client to ask, or one that leaves to read why, when room is short
 CHECK_S = 0.2  # between looks for clients that have been silent for too long
 UNFINISHED_S = 0.5  # at shutdown: for clients to finish a request that they have begun to send
 
@@ -46,13 +44,7 @@
         self.buffer = memoryview(bytearray(READ_BYTES))  # shared: what is in it is parsed at once
         self._checks = Checks(settings)
         self._stored = 0
-        self._budget = budget
-        self._clients: set[ClientConnection] = set()
-        # The longest first in each: those that have not asked, those between requests, those told to leave.
-        self._new: dict[ClientConnection, None] = {}
-        self._idle: dict[ClientConnection, None] = {}
-        self._leaving: dict[ClientConnection, None] = {}
-        self._evicted: set[ClientConnection] = set()
+        self.clients = ClientTable(budget)
         self._check: asyncio.TimerHandle | None = None
         self._accepting: set[asyncio.Task[Any]] = set()
         self._listener: socket.socket | None = None
@@ -102,7 +94,7 @@
         for _ in range(ACCEPT_AT_ONCE):
             if self._listener is None:
                 return True
-            if len(self._clients) >= self._budget:
+            if self.clients.full:
                 return self._wait_for_room()
             try:
                 sock, _peer = self._listener.accept()
@@ -123,7 +115,7 @@
         """
         self._tell_accept_fault(code)
         if code in SHORTAGE:
-            self._make_room()
+            self.clients.make_room()
         self._pause_accepting()
         # accept(2) takes a descriptor before it looks whether anybody waits: the error does not tell.
         return not self._somebody_waits()
@@ -146,8 +138,7 @@
     def _begin(self, sock: socket.socket) -> None:
         _prepare(sock)
         client = ClientConnection(self, sock)
-        self._clients.add(client)
-        self._new[client] = None
+        self.clients.add(client)
         self._shutdown.accepted(client.since)
         if self._check is None:
             self._check = self.loop.call_later(CHECK_S, self._check_times)
@@ -168,7 +159,7 @@
 
     def _wait_for_room(self) -> bool:
         """Who waits stays in the backlog meanwhile; never nobody."""
-        self._make_room()
+        self.clients.make_room()
         self._pause_accepting()
         return False
 
@@ -176,75 +167,31 @@
         self._pause()  # until one has ended, or there may be one to close
         self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
 
-    def _make_room(self) -> None:
-        """Close connections, those first that matter least.
-
-        Guards against hundreds that connect and say nothing, or hold on to a refusal, shutting out who asks:
-        they go before clients that have asked and may ask again, and these before a request that has begun.
-        Only where newcomers fill half of the table are they waited for: else one that has just come would
-        keep all others waiting.
-        """
-        if self._evicted:
-            return  # there will be room as soon as these have ended
-        before = clock.now() - GRACE_NS
-        if self._evict(client for client in self._leaving if client.since <= before):
-            return
-        silent = [client for client in self._new if not client.reading]
-        if self._evict(client for client in silent if client.since <= before):
-            return
-        if 2 * len(silent) > self._budget or self._evict(client for client in self._idle if client.rests()):
-            return
-        self._evict(
-            client
-            for client in [*self._new, *self._idle]
-            if client.reading and not client.unsent() and client.since <= before
-        )
-
-    def _evict(self, candidates: Iterable[ClientConnection]) -> bool:
-        """Close some of these; whether there was one.
-
-        Guards against closing on what has come but was not read yet, and against counting on the end of one
-        that cannot end yet, as it was accepted but is not attached: nobody else would go meanwhile.
-        """
-        attached = (client for client in candidates if client.transport is not None and not client.unread())
-        chosen = list(islice(attached, EVICT_AT_ONCE))
-        for client in chosen:
-            for table in (self._new, self._idle, self._leaving):
-                table.pop(client, None)
-            self._evicted.add(client)
-            assert client.transport is not None
-            client.transport.abort()
-        return bool(chosen)
-
     def _check_times(self) -> None:
         self._check, now = None, clock.now()
-        for client in list(self._clients):
+        for client in list(self.clients.open):
             client.check_time(now)
-        if self._clients:
+        if self.clients.open:
             self._check = self.loop.call_later(CHECK_S, self._check_times)
 
     def busy(self, client: ClientConnection) -> None:
         """A request is being handled there."""
-        self._new.pop(client, None)
-        self._idle.pop(client, None)
+        self.clients.busy(client)
 
     def rest(self, client: ClientConnection) -> None:
         """Nothing is held there."""
-        self._idle[client] = None
+        self.clients.idle[client] = None
 
     def leave(self, client: ClientConnection) -> None:
         """It was told the last that it will be told."""
-        self._leaving[client] = None
+        self.clients.leaving[client] = None
 
     def forget(self, client: ClientConnection) -> None:
         """The connection is no more."""
-        self._clients.discard(client)
-        self._evicted.discard(client)
-        for table in (self._new, self._idle, self._leaving):
-            table.pop(client, None)
+        self.clients.forget(client)
         if self.ending:
             self._check_end()
-        if len(self._clients) < self._budget:
+        if not self.clients.full:
             self._resume()
 
     def take(self, client: ClientConnection, message: Message) -> int | None:
@@ -280,7 +227,7 @@
         schedule = self._shutdown.start(now)
         self.runtime.begin_shutdown(schedule.answers_due_ns)
         self._resume()  # whoever waits for a start that is not over has no later one to wait for
-        self._close_idle()
+        self.clients.close_idle()
         self._after(self._shutdown.accepts_for_ns(now), self._close_listener)
         self._after(schedule.answers_due_ns - now, self._answers_due)
         self._after(schedule.exit_due_ns - now, self._finish)
@@ -288,12 +235,6 @@
     def _after(self, delay_ns: int, callback: Callable[[], None]) -> None:
         self.loop.call_later(delay_ns / clock.NS_PER_S, callback)
 
-    def _close_idle(self) -> None:
-        for client in [*self._new, *self._idle]:
-            # Guards against closing on a request that has come but was not read yet: it counts as taken.
-            if client.transport is not None and not client.reading and not client.unread():
-                client.transport.close()
-
     def _close_listener(self) -> None:
         """Close the listener once new connections have ceased and nobody waits in the backlog."""
         if self._listener is None:
@@ -329,17 +270,16 @@
         """Once the listener is closed: end as soon as nobody is left, and wait for nobody in vain."""
         if self._listener is not None:
             return
-        self._close_idle()
-        if not self._clients:
+        self.clients.close_idle()
+        if not self.clients.open:
             self._finish()
-        elif self._refuse_unfinished is None and not any(client.number for client in self._clients):
+        elif self._refuse_unfinished is None and self.clients.serves_none():
             self._refuse_unfinished = self.loop.call_later(UNFINISHED_S, self._refuse_half_read)
 
     def _refuse_half_read(self) -> None:
         """Guards against a client that never ends its request; what it sends on meanwhile finds an answer."""
         self._refuse_unfinished = None
-        for client in list(self._clients):
-            client.refuse_unfinished()
+        self.clients.refuse_unfinished()
         self._check_end()
 
     def _answers_due(self) -> None:
@@ -347,9 +287,8 @@
         if self._shutdown.phase is ShutdownPhase.FINISHED:
             return
         self._shutdown.answers_due()
-        for client in list(self._clients):
-            client.refuse_unfinished()
-        self._close_idle()
+        self.clients.refuse_unfinished()
+        self.clients.close_idle()
         self.loop.call_later(ACCEPT_PAUSE_S, self._answers_due)
 
     def _finish(self) -> None:
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -82,14 +82,14 @@
             assert [(await client.send(ask()))[0] for client in clients] == [200] * 4
             for client in clients:
                 client.writer.close()
-        await until(lambda: not made.frontend._clients)
+        await until(lambda: not made.frontend.clients.open)
         pools, runtime = made.backends, made.runtime
         assert len(pools._endpoints) == 1
         assert set(pools._idle) <= {"s6"}
         assert {each.endpoint.server.name for each in pools._open} <= {"s6"}
         await until(lambda: not runtime._in_flight)
-        tables = (made.frontend._new, made.frontend._idle, made.frontend._leaving, made.frontend._evicted)
-        assert not any(tables)
+        table = made.frontend.clients
+        assert not any((table.new, table.idle, table.leaving, table.evicted))
         assert made.frontend._stored == 0
 
     run(scenario())
--- a/tests/test_gateway_clients.py
+++ b/tests/test_gateway_clients.py
@@ -235,7 +235,7 @@
         client = await Client.to(made)
         client.writer.write(ask("post"))
         await until(lambda: len(server.requests) == 1)
-        (connection,) = made.frontend._clients
+        (connection,) = made.frontend.clients.open
         client.writer.write(b"".join(ask("post", body=b"a" * 60_000) for _ in range(300)))
         await until(lambda: connection.paused)
         for _ in range(50):
@@ -263,7 +263,7 @@
         client.writer.write(said)
         got = await client.reader.read()
         assert got.startswith(b"HTTP/1.1 408 ") == bool(said)
-        await until(lambda: not made.frontend._clients)
+        await until(lambda: not made.frontend.clients.open)
 
     run(scenario())
 
@@ -277,7 +277,7 @@
         client = await Client.to(made)
         assert (await client.send(ask()))[0] == 200
         assert await client.reader.read() == b""
-        assert not made.frontend._clients
+        assert not made.frontend.clients.open
 
     run(scenario())
 
@@ -317,8 +317,8 @@
         made = gateway(server.address)
         sock = socket.create_connection(made.frontend.address)
         sock.sendall(b"".join(ask() for _ in range(300)))
-        await until(lambda: any(c.full for c in made.frontend._clients))
-        await until(lambda: not made.frontend._clients)
+        await until(lambda: any(c.full for c in made.frontend.clients.open))
+        await until(lambda: not made.frontend.clients.open)
         sock.close()
 
     run(scenario())
@@ -334,7 +334,7 @@
         late = await Client.to(made)
         assert (await late.send(ask()))[0] == 200
         assert (await usual.send(ask()))[0] == 200  # kept, though it has been idle for longest
-        assert len(made.frontend._clients) <= 8
+        assert len(made.frontend.clients.open) <= 8
         assert len(crowd) == 100
 
     run(scenario())
@@ -346,14 +346,14 @@
     async def scenario() -> None:
         server = await answering(OK)
         made = gateway(server.address, limits={"sockets": 128})
-        usual = [await Client.to(made) for _ in range(made.frontend._budget - 1)]
+        usual = [await Client.to(made) for _ in range(made.frontend.clients.budget - 1)]
         for client in usual:
             assert (await client.send(ask()))[0] == 200
         crowd = [await Client.to(made) for _ in range(2)]
-        await until(lambda: len(made.frontend._new) > 0)
-        before = len(made.frontend._idle)
-        made.frontend._make_room()
-        assert len(made.frontend._idle) < before
+        await until(lambda: len(made.frontend.clients.new) > 0)
+        before = len(made.frontend.clients.idle)
+        made.frontend.clients.make_room()
+        assert len(made.frontend.clients.idle) < before
         assert (await crowd[0].send(ask()))[0] == 200
 
     run(scenario())
@@ -488,7 +488,7 @@
                 assert (await client.send(ask()))[0] == 200
             except asyncio.IncompleteReadError:  # closed between requests: a client sends it once more
                 assert (await (await Client.to(made)).send(ask()))[0] == 200
-            most = max(most, len(made.frontend._clients))
+            most = max(most, len(made.frontend.clients.open))
         assert most <= 8
 
     run(scenario())
@@ -617,7 +617,7 @@
         made = gateway()
         client = await Client.to(made)
         client.writer.write(ask()[:-2])
-        await until(lambda: any(c.reading for c in made.frontend._clients))
+        await until(lambda: any(c.reading for c in made.frontend.clients.open))
         made.frontend.end()
         await made.ended()
 
@@ -631,7 +631,7 @@
         client = await Client.to(made)
         request = ask()
         client.writer.write(request[:40])
-        await until(lambda: any(c.reading for c in made.frontend._clients))
+        await until(lambda: any(c.reading for c in made.frontend.clients.open))
         made.frontend.end()
         await asyncio.sleep(0.1)
         assert (await client.send(request[40:]))[0] == 200
@@ -646,8 +646,8 @@
         made = gateway(server.address)
         sock = socket.create_connection(made.frontend.address)
         sock.sendall(b"".join(ask() for _ in range(300)))
-        await until(lambda: any(c.full for c in made.frontend._clients))
-        (connection,) = made.frontend._clients
+        await until(lambda: any(c.full for c in made.frontend.clients.open))
+        (connection,) = made.frontend.clients.open
         for _ in range(20):
             await asyncio.sleep(0.002)
         assert connection.transport is not None
--- a/tests/test_gateway_crowd.py
+++ b/tests/test_gateway_crowd.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from gingerworks.gateway import discovery, frontend
+from gingerworks.gateway import client_table, discovery
 from gingerworks.gateway.__main__ import Gateway
 from gingerworks.gateway.client import ClientConnection
 from tests.loopback import (
@@ -54,13 +54,13 @@
 
 def rests_after(made: Gateway, requests: int) -> bool:
     """Whether the only client has had so many answers."""
-    return made.runtime._serial == requests and len(made.frontend._idle) == 1
+    return made.runtime._serial == requests and len(made.frontend.clients.idle) == 1
 
 
 async def all_but_one(made: Gateway, asked: bool) -> list[Client]:
     """As many clients as leave room for one more; they rest after an answer, or have said nothing."""
-    clients = [await Client.to(made) for _ in range(made.frontend._budget - 1)]
-    await until(lambda: len(made.frontend._new) == len(clients))
+    clients = [await Client.to(made) for _ in range(made.frontend.clients.budget - 1)]
+    await until(lambda: len(made.frontend.clients.new) == len(clients))
     if asked:
         for client in clients:
             assert (await client.send(ask()))[0] == 200
@@ -198,15 +198,17 @@
     # counted as sent away, was not, and nobody else was as long as it stayed: all others waited unread.
     async def scenario() -> None:
         made = gateway(limits=ROOM_FOR_EIGHT)
-        socks = [socket.create_connection(made.frontend.address) for _ in range(made.frontend._budget - 1)]
+        socks = [
+            socket.create_connection(made.frontend.address) for _ in range(made.frontend.clients.budget - 1)
+        ]
         made.frontend._accept()
-        assert all(client.transport is None for client in made.frontend._clients)
-        monkeypatch.setattr(frontend, "GRACE_NS", 0)
-        made.frontend._make_room()
-        assert not made.frontend._evicted
-        await until(lambda: all(client.transport is not None for client in made.frontend._clients))
-        made.frontend._make_room()
-        await until(lambda: not made.frontend._clients)
+        assert all(client.transport is None for client in made.frontend.clients.open)
+        monkeypatch.setattr(client_table, "GRACE_NS", 0)
+        made.frontend.clients.make_room()
+        assert not made.frontend.clients.evicted
+        await until(lambda: all(client.transport is not None for client in made.frontend.clients.open))
+        made.frontend.clients.make_room()
+        await until(lambda: not made.frontend.clients.open)
         for sock in socks:
             sock.close()
 
@@ -215,20 +217,20 @@
 
 def test_a_request_that_comes_in_pieces_outstays_those_that_rest(monkeypatch: pytest.MonkeyPatch) -> None:
     # It was taken for one that connects and says nothing, and went before hundreds that rest.
-    monkeypatch.setattr(frontend, "GRACE_NS", 0)
+    monkeypatch.setattr(client_table, "GRACE_NS", 0)
 
     async def scenario() -> None:
         server = await answering(OK)
         made = gateway(server.address, limits={"sockets": 128})
-        resting = [await Client.to(made) for _ in range(made.frontend._budget - 2)]
+        resting = [await Client.to(made) for _ in range(made.frontend.clients.budget - 2)]
         for client in resting:
             assert (await client.send(ask()))[0] == 200
         slow, request = await Client.to(made), ask("post", body=b"a" * 100)
         slow.writer.write(request[:-50])
-        await until(lambda: any(client.reading for client in made.frontend._clients))
-        made.frontend._make_room()
-        await until(lambda: not made.frontend._evicted)
-        assert len(made.frontend._idle) < len(resting)
+        await until(lambda: any(client.reading for client in made.frontend.clients.open))
+        made.frontend.clients.make_room()
+        await until(lambda: not made.frontend.clients.evicted)
+        assert len(made.frontend.clients.idle) < len(resting)
         assert (await slow.send(request[-50:]))[0] == 200
 
     run(scenario())
@@ -243,14 +245,14 @@
     async def scenario() -> None:
         server = await answering(OK)
         made = gateway(server.address, limits=ROOM_FOR_EIGHT)
-        halves = [await Client.to(made) for _ in range(made.frontend._budget - 1)]
+        halves = [await Client.to(made) for _ in range(made.frontend.clients.budget - 1)]
         for client in halves:
             if asked:
                 assert (await client.send(HEALTH))[0] == 200
         for client in halves:
             client.writer.write(ask()[:30])
-        await until(lambda: sum(client.reading for client in made.frontend._clients) == len(halves))
-        for _ in range(2 * made.frontend._budget):
+        await until(lambda: sum(client.reading for client in made.frontend.clients.open) == len(halves))
+        for _ in range(2 * made.frontend.clients.budget):
             halves.append(client := await Client.to(made))
             assert (await client.send(ask()))[0] == 200
             client.writer.write(ask()[:30])
@@ -270,13 +272,13 @@
             for asked in count(1):
                 deaf.sendall(ask())
                 await until(partial(rests_after, made, asked))
-                if any(client.unsent() for client in made.frontend._idle):
+                if any(client.unsent() for client in made.frontend.clients.idle):
                     break
             resting = []
-            for _ in range(3 * made.frontend._budget):
+            for _ in range(3 * made.frontend.clients.budget):
                 resting.append(client := await Client.to(made))
                 assert (await client.send(HEALTH))[0] == 200
-            assert len(made.frontend._clients) <= made.frontend._budget
+            assert len(made.frontend.clients.open) <= made.frontend.clients.budget
 
     run(scenario())
 
@@ -285,7 +287,7 @@
 def test_a_request_that_has_come_as_room_is_made_is_answered(
     asked: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(frontend, "GRACE_NS", 0)
+    monkeypatch.setattr(client_table, "GRACE_NS", 0)
 
     async def scenario() -> None:
         server = await answering(OK)
@@ -295,8 +297,8 @@
         crossing = clients[0]  # the first to go
         sock: socket.socket = crossing.writer.get_extra_info("socket")
         os.write(sock.fileno(), ask())  # in the gateway's kernel buffer before its loop turns again
-        made.frontend._make_room()
-        assert made.frontend._evicted
+        made.frontend.clients.make_room()
+        assert made.frontend.clients.evicted
         assert (await crossing.answer())[0] == 200
         assert len(server.requests) == before + 1
 
@@ -305,14 +307,14 @@
 
 @pytest.mark.parametrize("asked", [False, True])
 def test_a_request_that_crosses_its_close_is_never_read(asked: bool, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(frontend, "GRACE_NS", 0)
+    monkeypatch.setattr(client_table, "GRACE_NS", 0)
 
     async def scenario() -> None:
         server = await answering(OK)
         made = gateway(server.address, limits=ROOM_FOR_EIGHT)
         clients = await all_but_one(made, asked)
         before = made.runtime._serial
-        made.frontend._make_room()
+        made.frontend.clients.make_room()
         for client in clients:
             sock: socket.socket = client.writer.get_extra_info("socket")
             os.write(sock.fileno(), ask())  # after the look, before the close
@@ -337,13 +339,13 @@
         sock.connect(made.frontend.address)
         client = Client(*await asyncio.open_connection(sock=sock))
         assert (await client.send(HEALTH))[0] == 200
-        (taken,) = made.frontend._clients
+        (taken,) = made.frontend.clients.open
         taken.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         rest = made.frontend.rest
 
         def rests_as_room_is_made(resting: ClientConnection) -> None:
             rest(resting)
-            made.frontend._make_room()
+            made.frontend.clients.make_room()
 
         monkeypatch.setattr(made.frontend, "rest", rests_as_room_is_made)
         status, _, got = await client.send(ask())
--- a/tests/test_gateway_end.py
+++ b/tests/test_gateway_end.py
@@ -74,8 +74,8 @@
         server, release = await holding()
         made = gateway(server.address, limits=NO_ROOM)
         made.frontend.accept()
-        held = [connected(made, ask()) for _ in range(made.frontend._budget)]
-        await until(lambda: len(made.frontend._clients) == made.frontend._budget)
+        held = [connected(made, ask()) for _ in range(made.frontend.clients.budget)]
+        await until(lambda: len(made.frontend.clients.open) == made.frontend.clients.budget)
         await until(lambda: bool(server.requests))
         waits = connected(made, ask())
         stop_now(made)
@@ -129,7 +129,7 @@
         made.frontend.accept()
         sock = connected(made, b"")
         stop_now(made)
-        (client,) = made.frontend._clients
+        (client,) = made.frontend.clients.open
         assert client.transport is None
         assert await answered(sock) == b""
         await made.ended()
@@ -162,7 +162,7 @@
         made = gateway(server.address)
         client, second = await Client.to(made), ask()
         client.writer.write(ask() + second[:50])
-        await until(lambda: bool(server.requests) and any(c.reading for c in made.frontend._clients))
+        await until(lambda: bool(server.requests) and any(c.reading for c in made.frontend.clients.open))
         made.frontend.end()
         release.set()
         assert (await client.answer())[0] == 200
@@ -180,7 +180,7 @@
         made = gateway(server.address)
         client, request = await Client.to(made), ask()
         client.writer.write(request[:50])
-        await until(lambda: any(c.reading for c in made.frontend._clients))
+        await until(lambda: any(c.reading for c in made.frontend.clients.open))
         stop_now(made)
         os.write(client.writer.get_extra_info("socket").fileno(), request[50:])
         made.frontend._refuse_half_read()  # before the loop turns again
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -53,7 +53,7 @@
 
 async def forgotten(made: Gateway) -> None:
     """Until the gateway has taken in that the client has gone and holds nothing of its request."""
-    await until(lambda: not made.frontend._clients)
+    await until(lambda: not made.frontend.clients.open)
     await until(lambda: not made.runtime._in_flight and not made.runtime._policy.in_flight)
 
 
@@ -95,7 +95,7 @@
         client.writer.write(ask(X_Contract="small", X_Metering="units=6,spread=3,first=1"))
         await asked.wait()
         leave(client)
-        await until(lambda: not made.frontend._clients)
+        await until(lambda: not made.frontend.clients.open)
         go_on.set()
         await forgotten(made)
         assert server.connections == 0
@@ -118,7 +118,7 @@
         client.writer.write(ask("post"))
         await until(lambda: bool(held))
         leave(client)
-        await until(lambda: not made.frontend._clients)
+        await until(lambda: not made.frontend.clients.open)
         await asyncio.sleep(0)
         if made.backends._open:  # not called off: it comes up, and finds that nobody wants it
             held[0]()
@@ -202,7 +202,7 @@
         made = gateway(server.address)
         client = await Client.to(made)
         client.writer.write(b"".join(ask("post") for _ in range(8)))
-        await until(lambda: any(c.paused for c in made.frontend._clients) and len(server.requests) == 1)
+        await until(lambda: any(c.paused for c in made.frontend.clients.open) and len(server.requests) == 1)
         leave(client)
         await forgotten(made)
         await until(lambda: server.requests[1:] == [b""])
@@ -221,9 +221,9 @@
         made = gateway(server.address)
         client = await Client.to(made)
         client.writer.write(b"".join(ask("post") for _ in range(8)))
-        await until(lambda: any(c.paused for c in made.frontend._clients) and len(server.requests) == 1)
+        await until(lambda: any(c.paused for c in made.frontend.clients.open) and len(server.requests) == 1)
         leave(client)
-        (connection,) = made.frontend._clients
+        (connection,) = made.frontend.clients.open
         await until(connection.left_unread)
         release.set()
         await forgotten(made)
@@ -263,7 +263,7 @@
         client = Client(*await asyncio.open_connection(sock=sock))
         client.writer.write(ask("post"))
         await until(lambda: bool(held))
-        (connection,) = made.frontend._clients
+        (connection,) = made.frontend.clients.open
         assert connection.transport is not None
         connection.transport.pause_reading()  # the end stays unread, as behind a turn's other work
         leave(client)
@@ -299,7 +299,7 @@
         monkeypatch.setattr(made.frontend, "_check_times", lambda: None)
         client = await Client.to(made)
         client.writer.write(ask("post") + ahead)
-        await until(lambda: any(c.paused for c in made.frontend._clients) and len(server.requests) == 1)
+        await until(lambda: any(c.paused for c in made.frontend.clients.open) and len(server.requests) == 1)
         leave(client)
         await asyncio.sleep(0.01)
         release.set()
@@ -326,7 +326,7 @@
 
 def stop_reading(made: Gateway) -> list[ClientConnection]:
     """What the clients do next stays unread, as behind a turn's other work."""
-    for connection in (connections := list(made.frontend._clients)):
+    for connection in (connections := list(made.frontend.clients.open)):
         assert connection.transport is not None
         connection.transport.pause_reading()
     return connections
@@ -447,7 +447,7 @@
     async def scenario() -> None:
         server, release = await holding()
         made = gateway(server.address, limits={"sockets": 64})
-        taken = [await Client.to(made) for _ in range(made.frontend._budget)]
+        taken = [await Client.to(made) for _ in range(made.frontend.clients.budget)]
         for client in taken:
             client.writer.write(ask("post"))
         await until(lambda: len(server.requests) == len(taken))
--- a/tests/test_gateway_reload.py
+++ b/tests/test_gateway_reload.py
@@ -144,7 +144,7 @@
             made.reload({"NODE_CONFIG": str(file)})
         held = await Client.to(made)
         held.writer.write(ask()[:-2])
-        await until(lambda: any(c.reading for c in made.frontend._clients))
+        await until(lambda: any(c.reading for c in made.frontend.clients.open))
         made.frontend.end()
         if when == "during":
             made.reload({"NODE_CONFIG": str(file)})
--- a/tests/test_shutdown_deadline.py
+++ b/tests/test_shutdown_deadline.py
@@ -314,7 +314,7 @@
         server = await hanging()
         made = gateway(server.address, settings=settings(1.0), limits={"sockets": 64})
         made.frontend.accept()
-        held = [await Sender.to(made) for _ in range(made.frontend._budget)]
+        held = [await Sender.to(made) for _ in range(made.frontend.clients.budget)]
         for sender in held:
             sender.send(ask(left="1.000"))
         await asyncio.sleep(0.01)
@@ -377,7 +377,7 @@
         sock.setblocking(False)
         await asyncio.get_running_loop().sock_connect(sock, made.frontend.address)
         await asyncio.sleep(0.01)
-        (client,) = made.frontend._clients
+        (client,) = made.frontend.clients.open
         client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         sock.send(ask(left="2.500"))
         while not client.unsent():
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -333,7 +333,7 @@
         peers = [await answering(OK) for _ in range(LISTENERS)]
         servers = entries(peers)
         made = gateway(known=listing(*servers), limits={"sockets": sockets})
-        assert made.frontend._budget + made.backends._budget + OWN_SOCKETS <= sockets
+        assert made.frontend.clients.budget + made.backends._budget + OWN_SOCKETS <= sockets
         backends, budget = made.backends, made.backends._budget
         ended: list[io.Status] = []
 
--- a/tests/test_system_call_faults.py
+++ b/tests/test_system_call_faults.py
@@ -17,7 +17,7 @@
 
 from gingerworks import interface as io
 from gingerworks.gateway import client as client_module
-from gingerworks.gateway import clock, dial, discovery, frontend, shutdown
+from gingerworks.gateway import client_table, clock, dial, discovery, frontend, shutdown
 from gingerworks.gateway import counter as counter_module
 from gingerworks.gateway.__main__ import Gateway
 from gingerworks.gateway.discovery import change_from
@@ -485,14 +485,14 @@
     code: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # Clients between requests were closed, and nobody was accepted for 20 ms, though nothing was short.
-    monkeypatch.setattr(frontend, "GRACE_NS", 0)
+    monkeypatch.setattr(client_table, "GRACE_NS", 0)
 
     async def scenario() -> None:
         made = gateway()
         resting, waiting = await resting_and_waiting(made)
         listening(monkeypatch, made, Fault(Call.ACCEPT, code, times=2))
         assert made.frontend._accept()  # nobody waits any more
-        assert len(made.frontend._clients) == 4
+        assert len(made.frontend.clients.open) == 4
         for client in [resting, *waiting]:
             assert (await client.send(HEALTH))[0] == 200
 
@@ -516,7 +516,7 @@
     code: int, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
     # One line came with each pause of 20 ms, and said nothing of what to do.
-    monkeypatch.setattr(frontend, "GRACE_NS", 0)
+    monkeypatch.setattr(client_table, "GRACE_NS", 0)
 
     async def scenario() -> None:
         made = gateway()
@@ -540,7 +540,7 @@
 def test_a_fault_of_the_listener_that_is_no_shortage_closes_no_client(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(frontend, "GRACE_NS", 0)
+    monkeypatch.setattr(client_table, "GRACE_NS", 0)
 
     async def scenario() -> None:
         made = gateway()
@@ -582,13 +582,13 @@
         for client in waiting:
             client.writer.write(ask("post"))
         assert made.frontend._accept()
-        assert len(made.frontend._clients) == 4
+        assert len(made.frontend.clients.open) == 4
         for client in waiting:
             assert (await client.answer())[0] == 200
             assert (await client.send(ask("post")))[0] == 200
             client.writer.close()
         await until(faults.all_closed)
-        assert len(made.frontend._clients) == 1
+        assert len(made.frontend.clients.open) == 1
 
     run(scenario())
 
@@ -607,7 +607,7 @@
         with monkeypatch.context() as patch:
             patch.setattr(made.frontend.loop, "connect_accepted_socket", attach)
             assert made.frontend._accept()
-            await until(lambda: len(made.frontend._clients) == 1)
+            await until(lambda: len(made.frontend.clients.open) == 1)
         assert faults.all_closed()
         for client in waiting:
             assert await client.reader.read() == b""
@@ -638,14 +638,14 @@
     client = await Client.to(made)
     if asked:
         assert (await client.send(HEALTH))[0] == 200
-    await until(lambda: [c.transport is not None for c in made.frontend._clients] == [True])
+    await until(lambda: [c.transport is not None for c in made.frontend.clients.open] == [True])
     sock: socket.socket = client.writer.get_extra_info("socket")
     os.write(sock.fileno(), ask("post"))  # before the loop turns again
     return client, faults
 
 
 def room_is_made(made: Gateway) -> None:
-    made.frontend._make_room()
+    made.frontend.clients.make_room()
 
 
 def the_end_begins(made: Gateway) -> None:
@@ -653,7 +653,7 @@
 
 
 def it_has_rested_for_long(made: Gateway) -> None:
-    (client,) = made.frontend._clients
+    (client,) = made.frontend.clients.open
     client.check_time(client.since + 60 * SECOND)
 
 
@@ -667,7 +667,7 @@
     code: int, closes: Callable[[Gateway], None], asked: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # Any error of the look for unread bytes was taken for "nothing has come", and the connection was closed.
-    monkeypatch.setattr(frontend, "GRACE_NS", 0)
+    monkeypatch.setattr(client_table, "GRACE_NS", 0)
 
     async def scenario() -> None:
         server = await answering(OK)
@@ -685,14 +685,14 @@
 def test_a_connection_that_has_broken_holds_nothing_unread(
     code: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(frontend, "GRACE_NS", 0)
+    monkeypatch.setattr(client_table, "GRACE_NS", 0)
 
     async def scenario() -> None:
         made = gateway()
         client, faults = await come_but_not_read(monkeypatch, made, asked=True)
         faults.failing([Fault(Call.RECV, code, times=FOR_GOOD)])
-        made.frontend._make_room()
-        await until(lambda: not made.frontend._clients)
+        made.frontend.clients.make_room()
+        await until(lambda: not made.frontend.clients.open)
         assert client.writer is not None
 
     run(scenario())
@@ -1012,7 +1012,7 @@
 ) -> None:
     # The same fault at each of the first calls of its kind, in turn, over all of a gateway's own sockets.
     # A newcomer may be closed for room after its grace, which a busy machine may use up; here nobody is.
-    monkeypatch.setattr(frontend, "GRACE_NS", 1 << 62)
+    monkeypatch.setattr(client_table, "GRACE_NS", 1 << 62)
 
     async def scenario() -> None:
         one, two, told = await answering(OK), await answering(OK), await scripted(echoing)
@@ -1040,7 +1040,7 @@
                 assert status in (200, 502) or b"Retry-After" in head
             for client in clients:
                 client.writer.close()
-            await until(lambda: not made.frontend._clients)
+            await until(lambda: not made.frontend.clients.open)
         posts = [message for message in one.requests + two.requests if message.startswith(b"POST")]
         ids = [re.findall(rb"X-Correlation-Id: (\w+)", message)[0] for message in posts]
         assert len(ids) == len(set(ids))
