Tell servers no more than the client has left when the process is held up

Cause: a request's time ran from the turn in which the policy heard of it, not from when it was taken (Runtime._turn read the clock anew for a queued request), and an attempt's from when it began, not from the decision (Attempt.until is `begun` and the time left at the decision). Whatever the process was held up in between was given to the server on top, without bound; an attempt even began after the client's time was over, with 0.001 s told (InFlight.render, lines 56 to 58).

Change: InFlight keeps the client's deadline and is where the time told is bounded by it; a request that waited for its turn goes to the policy with what is left then; no attempt begins once nothing is left; the policy refuses a request that has no time left, with Retry-After.

--- a/gingerworks/gateway/runtime.py
+++ b/gingerworks/gateway/runtime.py
@@ -7,6 +7,7 @@
 import math
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from gingerworks import interface as io
@@ -42,7 +43,7 @@
 class InFlight:
     """A request that was taken: whom it is for, what to send on, and its attempts."""
 
-    __slots__ = ("attempts", "body", "client", "head", "open", "out")
+    __slots__ = ("attempts", "body", "client", "deadline", "head", "open", "out", "taken_at")
 
     def __init__(self, client: Client, head: bytes, body: bytes) -> None:
         """``head`` lacks the time left and the empty line."""
@@ -52,10 +53,19 @@
         self.open = True  # until it has its final answer or the client has gone
         self.attempts: list[Attempt | None] = []
         self.out = 0
+        self.taken_at = self.deadline = clock.now()
+
+    def left_ns(self) -> int:
+        """What is left of the client's time."""
+        return self.deadline - clock.now()
 
     def render(self, left_ns: int) -> bytes:
-        """The request as it goes to a server, with the time that the gateway will wait."""
-        left = max(left_ns, clock.NS_PER_MS) / clock.NS_PER_S
+        """The request as it goes to a server, with the time that the gateway will wait.
+
+        Guards against telling more than the client has left: between the decision and this the process may
+        have been held up.
+        """
+        left = max(min(left_ns, self.left_ns()), clock.NS_PER_MS) / clock.NS_PER_S
         return b"%bX-Time-Left: %.3f\r\n\r\n%b" % (self.head, left, self.body)
 
 
@@ -150,10 +160,11 @@
 
     def _turn(self) -> None:
         self._planned = False
-        events, self._events = self._events, []
+        now = clock.now()
+        events, self._events = [self._as_of(now, event) for event in self._events], []
         done, self._done = self._done, []
         try:
-            actions = self._policy.handle(clock.now(), events)
+            actions = self._policy.handle(now, events)
         except Exception:
             log.exception("the module failed; what was in flight is answered as failed, and it starts anew")
             self._start_anew()
@@ -174,6 +185,14 @@
             if inflight is not None and not inflight.open and not inflight.out:
                 del self._in_flight[number]
 
+    def _as_of(self, now: int, event: io.Event) -> io.Event:
+        """The event; a request with the time that is left now, as it may have been queued for long."""
+        if not isinstance(event, io.Request):
+            return event
+        inflight = self._in_flight[event.id]
+        inflight.deadline = inflight.taken_at + event.ttl_ns
+        return replace(event, ttl_ns=inflight.deadline - now)
+
     def _start_anew(self) -> None:
         """A module that has raised knows no longer what is out: begin as after a restart."""
         for inflight in list(self._in_flight.values()):
@@ -219,14 +238,14 @@
         return self._backends.start(attempt)
 
     def _wanted(self, number: int, inflight: InFlight) -> bool:
-        """Whether an attempt may still begin.
+        """Whether an attempt may still begin: the client waits for it, and has time left.
 
         Guards against sending on what nobody waits for: a close may lie unread behind a turn's other work,
         behind what the client wrote ahead, or behind the request itself where that was accepted late.
         """
         if inflight.open and inflight.client.gone():
             self.cancelled(number)
-        return inflight.open
+        return inflight.open and inflight.left_ns() > 0
 
     def _ended(
         self,
--- a/gingerworks/interface.py
+++ b/gingerworks/interface.py
@@ -215,6 +215,7 @@
 class Request:
     """A client's try; exactly one final answer is owed before ``ttl_ns`` has passed.
 
+    One that has no time left is refused.
     An id seen before is a caller's fault and raises ``ValueError``, as does an unknown class or plan.
     """
 
--- a/gingerworks/policy/driver.py
+++ b/gingerworks/policy/driver.py
@@ -115,6 +115,8 @@
     def request(self, request: io.Request) -> None:
         """Admit or refuse a request, at once."""
         inflight = self._begin(request)
+        if request.ttl_ns <= 0:
+            return self.decline(inflight, 0)
         customer, plan, units = inflight.customer, inflight.customer.plan, request.units
         inside = self.quotas.verdict(inflight, self.now)
         if inside is False and plan.excess_worth <= plan.overrun_cost:
