Count what a request waited before it was taken against the time told

Cause: Frontend.take handed on X-Time-Left as if the request had been sent that moment. What it had waited behind another on its connection (ClientConnection.ready), unread in the socket's buffer while the loop was held up, or in the backlog while the table of clients was full, was given to the server on top, without bound.

Looked at first, on loopback: tcpi_last_data_recv tells the age of the latest data, read or not, from before the accept on, is not moved by what is written or by a close, and steps by 4 ms. Behind a second message it is the age of that one. Where it is not told, or by another clock, it must cost nothing that is not known otherwise.

Change: gateway/arrival.py asks the kernel once a read, and lets an age count only as far back as the connection, or the backlog before it, was last found empty. Where a pause in reading kept several messages unread, all but the last count from that pause. Messages carry when their last byte came, and Frontend.take subtracts what has passed since. A request whose time is over by then is refused by the policy and never forwarded.

--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -12,6 +12,7 @@
 import httptools
 
 from gingerworks.gateway import clock, numerals
+from gingerworks.gateway.arrival import Arrivals
 from gingerworks.gateway.backend import Answer
 from gingerworks.gateway.client_owner import ClientOwner
 from gingerworks.gateway.requests import BODY_BYTES, HEAD_BYTES, Message, Refusal
@@ -47,6 +48,7 @@
         self.ready: deque[Message | Refusal] = deque()
         self.number: int | None = None  # of the request that is held
         self.since = clock.now()  # what is waited for now
+        self.arrivals = Arrivals(sock, owner.backlog_empty_at)
         self.asked = False  # a whole request has come
         self.leaving = False  # the last answer was written: nothing further is read or asked
         self.deaf = False  # nothing further is read
@@ -56,6 +58,7 @@
         self.reading = self.in_head = False  # a message that is not whole yet, and its head
         self.begun = self.unfinished = 0  # messages begun with the last data; bytes of an unfinished one
         self.stored = 0  # bytes of bodies that were read here
+        self.arrived_at = 0  # when the data that is being parsed came, at the earliest
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Transport's callback."""
@@ -83,6 +86,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Transport's callback.  Little is read at a time, so that many who write ahead pile up little."""
+        self.arrivals.begin_read()
         return self.owner.buffer
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -90,6 +94,9 @@
         if self.deaf:
             return
         fresh, self.begun = not self.reading, 0
+        emptied = nbytes < len(self.owner.buffer)
+        arrival = self.arrivals.end_read(emptied)
+        self.arrived_at, waiting = arrival.earliest, len(self.ready)
         try:
             self.parser.feed_data(self.owner.buffer[:nbytes])
         except httptools.HttpParserCallbackError as fault:
@@ -101,6 +108,8 @@
             # Guards against losing a whole request for its wish to change protocols: answer in this one.
             self.deaf = True
             self.message.keep_alive = False
+        if emptied and not self.reading and len(self.ready) > waiting and self.ready[-1] is self.message:
+            self.message.arrived_at = arrival.latest  # its last byte is the last that has come
         # Guards against a head or a frame without end: the parser keeps it and tells only of whole fields.
         if self.reading and self.begun == fresh:
             self.unfinished += nbytes
@@ -108,8 +117,13 @@
                 self._refuse(Refusal(431, "the request is too large"))
         self._next()
         if len(self.ready) > PIPELINED and not self.paused and self.transport is not None:
-            self.paused = True
-            self.transport.pause_reading()
+            self._pause()
+
+    def _pause(self) -> None:
+        assert self.transport is not None
+        self.paused = True
+        self.arrivals.pause()
+        self.transport.pause_reading()
 
     def _refuse(self, refusal: Refusal) -> None:
         if self.deaf:
@@ -118,8 +132,7 @@
         self.ready.append(refusal)
         if not self.paused and self.transport is not None:
             # Guards against spending time on all that a refused client goes on to send.
-            self.paused = True
-            self.transport.pause_reading()
+            self._pause()
 
     def on_message_begin(self) -> None:
         """Parser's callback."""
@@ -162,6 +175,7 @@
         """Parser's callback."""
         self.reading = False
         self.message.keep_alive = self.parser.should_keep_alive()
+        self.message.arrived_at = self.arrived_at
         self.ready.append(self.message)
 
     def _next(self) -> None:
--- a/gingerworks/gateway/client_owner.py
+++ b/gingerworks/gateway/client_owner.py
@@ -25,6 +25,10 @@
     def ending(self) -> bool:
         """Whether the graceful end has begun."""
 
+    @property
+    def backlog_empty_at(self) -> int:
+        """When nobody was last found waiting to be accepted."""
+
     def attached(self) -> None:
         """A connection that was accepted can be read now."""
 
--- a/gingerworks/gateway/frontend.py
+++ b/gingerworks/gateway/frontend.py
@@ -6,6 +6,7 @@
 import logging
 import socket
 from collections.abc import Coroutine, Iterable
+from dataclasses import replace
 from itertools import islice
 from typing import Any
 
@@ -57,6 +58,7 @@
         self._accepting: set[asyncio.Task[Any]] = set()
         self._listener: socket.socket | None = None
         self._reading = False
+        self.backlog_empty_at = clock.now()
         self._ended_at = self._last_accept = 0
         self._last_call: asyncio.TimerHandle | None = None
 
@@ -83,13 +85,18 @@
     def _resume(self) -> None:
         if self._listener is not None and not self._reading:
             self._reading = True
-            self.loop.add_reader(self._listener.fileno(), self._accept)
+            self.loop.add_reader(self._listener.fileno(), self._acceptable)
 
     def _pause(self) -> None:
         if self._listener is not None and self._reading:
             self._reading = False
             self.loop.remove_reader(self._listener.fileno())
 
+    def _acceptable(self) -> None:
+        began = clock.now()
+        if self._accept():
+            self.backlog_empty_at = began
+
     def _accept(self) -> bool:
         """Take in who waits, so many at once; whether nobody waits any more."""
         for _ in range(ACCEPT_AT_ONCE):
@@ -217,6 +224,8 @@
                 raise Refusal(405, "GET only")
             return None
         request = self._checks.request(message)
+        waited = clock.now() - message.arrived_at
+        request = replace(request, ttl_ns=request.ttl_ns - waited)
         return self.runtime.taken(client, request, message.head(), message.body)
 
     def cancelled(self, number: int) -> None:
--- a/gingerworks/gateway/requests.py
+++ b/gingerworks/gateway/requests.py
@@ -44,7 +44,7 @@
 class Message:
     """One request as it is read."""
 
-    __slots__ = ("body", "headers", "keep_alive", "method", "size", "target")
+    __slots__ = ("arrived_at", "body", "headers", "keep_alive", "method", "size", "target")
 
     def __init__(self) -> None:
         self.target = b""
@@ -53,6 +53,7 @@
         self.size = 0
         self.body = b""
         self.keep_alive = True
+        self.arrived_at = 0  # when its last byte came
 
     def grow(self, size: int) -> None:
         """Count bytes of the head."""
--- a/tests/test_told_deadline.py
+++ b/tests/test_told_deadline.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import time
 from collections.abc import Callable
 from typing import Any
 
 import pytest
 
 from gingerworks import interface as io
-from gingerworks.gateway import backend, clock
+from gingerworks.gateway import arrival, backend, clock
 from gingerworks.gateway.__main__ import Gateway
 from gingerworks.gateway.dial import Dial
 from gingerworks.policy.driver import PATIENCE_AIM
@@ -28,10 +30,12 @@
     run,
     until,
 )
+from tests.test_gateway_clients import holding
 
 SLACK_S = 0.15  # the protocol's
 LEFT_S = 2.0
 HELD_UP_S = 0.4
+MORE = {"sockets": 64}  # a small table of clients
 
 
 class SteppedClock:
@@ -54,6 +58,48 @@
     return told(request) <= left + SLACK_S
 
 
+async def answered(client: Client, count: int) -> list[int]:
+    return [(await client.answer())[0] for _ in range(count)]
+
+
+def test_to_one_that_was_read_behind_another_in_work(monkeypatch: pytest.MonkeyPatch) -> None:
+    stepped = SteppedClock(monkeypatch)
+
+    async def scenario() -> None:
+        server, release = await holding()
+        made = gateway(server.address)
+        client = await Client.to(made)
+        client.writer.write(ask("post") + ask("post"))
+        await until(lambda: len(server.requests) == 1 and any(c.ready for c in made.frontend._clients))
+        stepped.hold_up()
+        release.set()
+        assert await answered(client, 2) == [200, 200]
+        assert no_more_than(LEFT_S - HELD_UP_S, server.requests[1])
+
+    run(scenario())
+
+
+def test_to_one_that_lay_unread_behind_others_in_work() -> None:
+    # The kernel knows the age of the latest data alone: the last request's, not the one's before it.
+    async def scenario() -> None:
+        server, release = await holding()
+        made = gateway(server.address)
+        client = await Client.to(made)
+        client.writer.write(ask("post") + ask("post") + ask("post"))
+        await until(lambda: any(c.paused for c in made.frontend._clients) and len(server.requests) == 1)
+        client.writer.write(ask("post"))
+        await asyncio.sleep(HELD_UP_S)
+        client.writer.write(ask("post"))
+        await asyncio.sleep(0.02)  # that one may wait for nothing
+        release.set()
+        assert await answered(client, 5) == [200] * 5
+        waited, fresh = server.requests[3:]
+        assert no_more_than(LEFT_S - HELD_UP_S, waited)
+        assert told(fresh) > LEFT_S - HELD_UP_S
+
+    run(scenario())
+
+
 def test_to_one_that_was_read_and_waits_for_its_decision(monkeypatch: pytest.MonkeyPatch) -> None:
     stepped = SteppedClock(monkeypatch)
 
@@ -77,6 +123,58 @@
     run(scenario())
 
 
+def test_to_one_that_lay_in_the_sockets_buffer_while_the_loop_was_held_up() -> None:
+    async def scenario() -> None:
+        server = await answering(OK)
+        made = gateway(server.address)
+        client = await Client.to(made)
+        assert (await client.send(ask("post")))[0] == 200
+        client.writer.write(ask("post"))
+        time.sleep(HELD_UP_S)  # nothing is read meanwhile
+        assert (await client.answer())[0] == 200
+        assert no_more_than(LEFT_S - HELD_UP_S, server.requests[1])
+
+    run(scenario())
+
+
+def test_to_one_that_lay_in_the_backlog_of_a_full_table() -> None:
+    async def scenario() -> None:
+        server, release = await holding()
+        made = gateway(server.address, limits=MORE)
+        taken = [await Client.to(made) for _ in range(made.frontend._budget)]
+        for client in taken:
+            client.writer.write(ask("post"))
+        await until(lambda: len(server.requests) == len(taken))
+        late = await Client.to(made)
+        late.writer.write(ask("post"))
+        await asyncio.sleep(HELD_UP_S)
+        release.set()
+        for client in taken:
+            assert (await client.answer())[0] == 200
+            client.writer.close()
+        assert (await late.answer())[0] == 200
+        assert no_more_than(LEFT_S - HELD_UP_S, server.requests[-1])
+
+    run(scenario())
+
+
+def test_one_whose_time_is_over_before_it_is_taken_is_refused_and_never_forwarded() -> None:
+    async def scenario() -> None:
+        server = await answering(OK)
+        made = gateway(server.address)
+        client = await Client.to(made)
+        assert (await client.send(ask("post")))[0] == 200
+        client.writer.write(ask("post", left="0.200"))
+        time.sleep(HELD_UP_S)  # nothing is read meanwhile
+        status, head, _ = await client.answer()
+        assert status == 429
+        assert b"Retry-After: " in head
+        assert (await client.send(ask("post")))[0] == 200  # its connection is kept
+        assert len(server.requests) == 2
+
+    run(scenario())
+
+
 class Stalls:
     """Holds the process up between the decision for one of the attempts and its begin."""
 
@@ -182,3 +280,90 @@
         assert [no_more_than(LEFT_S - late_s, request) for request in server.requests] == [True] * arrives
 
     run(scenario())
+
+
+AGE_NS = 700 * clock.NS_PER_MS
+
+
+class Ages:
+    """What the kernel is made to say, on the gateway's clock or on another one."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, age_ns: int | None) -> None:
+        self.now, self.age_ns = 1_000 * clock.NS_PER_S, age_ns
+        monkeypatch.setattr(clock, "now", lambda: self.now)
+        monkeypatch.setattr(arrival, "last_data_age_ns", lambda sock: self.age_ns)
+
+    def after(self, seconds: float) -> int:
+        self.now += int(seconds * clock.NS_PER_S)
+        return self.now
+
+
+def test_where_the_age_of_data_is_unknown_it_came_as_it_is_read(monkeypatch: pytest.MonkeyPatch) -> None:
+    ages = Ages(monkeypatch, None)
+    with socket.socket() as sock:
+        arrivals = arrival.Arrivals(sock, ages.now)
+        ages.after(1.0)
+        arrivals.begin_read()
+        assert arrivals.end_read(emptied=True) == arrival.Arrival(ages.now, ages.now)
+
+
+def test_an_age_counts_only_back_to_when_the_connection_held_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    ages = Ages(monkeypatch, 3600 * clock.NS_PER_S)  # by another clock
+    with socket.socket() as sock:
+        empty_at = ages.now
+        arrivals = arrival.Arrivals(sock, empty_at)
+        began_at = ages.after(0.1)
+        arrivals.begin_read()
+        ages.after(0.01)
+        assert arrivals.end_read(emptied=False).latest == empty_at  # more of the same is still unread
+        arrivals.begin_read()
+        assert arrivals.end_read(emptied=True).latest == empty_at
+        ages.after(0.01)
+        arrivals.begin_read()
+        assert arrivals.end_read(emptied=True).latest == began_at + 10 * clock.NS_PER_MS
+
+
+def test_of_what_a_pause_kept_unread_only_the_last_has_a_known_age(monkeypatch: pytest.MonkeyPatch) -> None:
+    ages = Ages(monkeypatch, None)
+    with socket.socket() as sock:
+        arrivals = arrival.Arrivals(sock, ages.now)
+        began_at = ages.after(0.1)
+        arrivals.begin_read()
+        arrivals.end_read(emptied=True)
+        arrivals.pause()
+        ages.after(1.0)
+        ages.age_ns = AGE_NS
+        for emptied in (False, True):
+            arrivals.begin_read()
+            assert arrivals.end_read(emptied) == arrival.Arrival(began_at, ages.now - AGE_NS)
+        ages.after(1.0)
+        arrivals.begin_read()
+        assert arrivals.end_read(emptied=True) == arrival.Arrival(ages.now - AGE_NS, ages.now - AGE_NS)
+
+
+def test_the_kernel_tells_how_long_data_lay_in_the_backlog_and_unread() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = socket.create_connection(listener.getsockname())
+        client.sendall(b"a" * 100)
+        time.sleep(HELD_UP_S)
+        accepted, _ = listener.accept()
+        with client, accepted:
+            for _ in range(2):
+                age = arrival.last_data_age_ns(accepted)
+                assert age is not None
+                assert age >= (HELD_UP_S - 0.02) * clock.NS_PER_S  # its clock is coarse
+                accepted.recv(10)
+
+
+class Short(socket.socket):
+    """A system that tells less."""
+
+    def getsockopt(self, *asked: Any) -> Any:
+        return bytes(8)
+
+
+def test_an_age_that_the_system_does_not_tell_is_unknown() -> None:
+    ours, theirs = socket.socketpair()
+    with ours, theirs, Short() as short:
+        assert arrival.last_data_age_ns(ours) is None
+        assert arrival.last_data_age_ns(short) is None
