Begin no attempt where the client's close may lie hidden behind what it sent ahead

Cause: ClientConnection.gone asks the system whether the client's end has come. A connection that is not read (PIPELINED, _refuse) takes in some 65,000 to 130,000 bytes, less of small segments; a close behind more than that is not told of until there is room, so Runtime._wanted let attempts begin long after the client had gone.

Ruled out: the end of a client in the turn of a hedge, of the attempt after one called off, and while the connection of a further attempt comes up is seen each time, in a shutdown too (tests kept; the old code passes).

Change: an attempt does not begin while 60 KiB, or 8 KiB behind what was refused, lie unread. If no other attempt is out the request is answered as failed at once; a hedge is only left out. Partial: of segments of a few bytes 5,000 to 60,000 bytes may hide an end, measured on loopback; that is open.

On the code before, 5 of the new tests fail: three attempts more began after the close in each of four orders (close and half-close, behind requests and behind junk), and one hedge for a client not seen any more.

--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -24,6 +24,10 @@
 )  # for the first request since the connection came, a further one since it began
 IDLE_NS = 3 * clock.NS_PER_S  # between requests
 UNREAD_NS = 2 * clock.NS_PER_S  # for a client to take its answer
+# Unread on a connection that is not read, from which on its end may be hidden: the system takes in only so
+# much, and a close lies behind it.  That is 65,000 to 130,000 bytes by default, and less of small segments.
+HIDING_BYTES = 60 * 1024
+HIDING_REFUSED_BYTES = 8 * 1024  # ... where none of it will be read
 LINGER_S = 0.3  # for a client to read why it was refused while it still sends
 COME_BACK = b"Retry-After: 0.100\r\n"  # with a refusal for want of room
 
@@ -285,6 +289,16 @@
         ends.register(self.socket, select.POLLRDHUP)
         return bool(ends.poll(0))
 
+    def close_may_be_hidden(self) -> bool:
+        """Whether the client may have closed its connection, unseen for what it sent ahead."""
+        if not self.paused:
+            return False
+        enough = HIDING_REFUSED_BYTES if self.deaf else HIDING_BYTES
+        try:
+            return len(self.socket.recv(enough, socket.MSG_PEEK)) == enough
+        except OSError:
+            return False
+
     def _release(self) -> None:
         self.owner.store(-self.stored)
         self.stored = 0
--- a/gingerworks/gateway/runtime.py
+++ b/gingerworks/gateway/runtime.py
@@ -39,6 +39,9 @@
     def gone(self) -> bool:
         """Whether it has left, also where that was not read yet."""
 
+    def close_may_be_hidden(self) -> bool:
+        """Whether it might have left without that being seen, for all that it has sent ahead."""
+
 
 class InFlight:
     """A request that was taken: whom it is for, what to send on, and its attempts."""
@@ -245,6 +248,11 @@
         """
         if inflight.open and inflight.client.gone():
             self.cancelled(number)
+        if inflight.open and inflight.client.close_may_be_hidden():
+            if inflight.out > 1:
+                return False  # another attempt is out and may still be answered
+            inflight.client.failed()
+            self.cancelled(number)
         return inflight.open and inflight.left_ns() > 0
 
     def _ended(
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 from collections.abc import Callable
@@ -26,6 +27,7 @@
     answering,
     ask,
     gateway,
+    read_message,
     run,
     silent,
     until,
@@ -464,3 +466,154 @@
         assert len(server.requests) == len(taken)
 
     run(scenario())
+
+
+def before_assign(made: Gateway, which: int, what: Callable[[], None]) -> list[io.Assign]:
+    """Do something as one of the attempts is assigned: the loop has no turn between this and the attempt."""
+    assign, seen = made.runtime._perform[io.Assign], list[io.Assign]()
+
+    def assigned(action: io.Assign) -> None:
+        seen.append(action)
+        if len(seen) == which:
+            what()
+        assign(action)
+
+    made.runtime._perform[io.Assign] = assigned
+    return seen
+
+
+QUICK = 8  # answers that show the servers not to be pressed: only then is an attempt followed by another
+
+
+@at_once
+@pytest.mark.parametrize("ending", [False, True])
+@pytest.mark.parametrize("hedging", [True, False], ids=["hedge", "called off"])
+def test_as_an_answer_is_overdue(leave: Callable[[Raw], None], ending: bool, hedging: bool) -> None:
+    async def scenario() -> None:
+        async def script(peer: Peer, reader: Reader, writer: Writer) -> None:
+            while True:
+                peer.requests.append(await read_message(reader))
+                if len(peer.requests) <= QUICK:
+                    writer.write(OK)
+
+        server = await Peer(script).start()
+        limits = SETTINGS["limits"] | {"second-copies": hedging}
+        made = gateway(server.address, server.address, settings=SETTINGS | {"limits": limits})
+        client = await Client.to(made)
+        for _ in range(QUICK):
+            assert (await client.send(ask()))[0] == 200
+        client.writer.close()
+        late = Raw(made, ask())
+        seen = before_assign(made, 2, lambda: leave(late))
+        await until(lambda: len(server.requests) == QUICK + 1)
+        if ending:
+            made.frontend.end()
+        await forgotten(made)
+        assert len(seen) == 2
+        assert len(server.requests) == QUICK + 1
+
+    run(scenario())
+
+
+@at_once
+def test_while_the_connection_of_a_further_attempt_comes_up(
+    leave: Callable[[Raw], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    held = held_dials(monkeypatch)
+
+    async def scenario() -> None:
+        server = await answering(NOT_RUN)
+        made = gateway(server.address, server.address)
+        client = Raw(made, ask("post"))
+        await until(lambda: bool(held))
+        held.pop()()
+        await until(lambda: bool(held))
+        connections = stop_reading(made)
+        leave(client)
+        held.pop()()  # the loop has no turn between the two
+        go_on_reading(connections)
+        await forgotten(made)
+        assert len(server.requests) == 1
+
+    run(scenario())
+
+
+async def fill(made: Gateway, sock: socket.socket, ahead: bytes) -> None:
+    """Send more than the system takes in of a connection that is not read."""
+    sock.setblocking(False)
+    sock.send(ahead * 1000)
+    await until(lambda: any(client.paused for client in made.frontend._clients))
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            sock.send(ahead * 1000)
+
+
+@at_once
+@pytest.mark.parametrize("ahead", [b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n", b"\x00" * 40])
+def test_behind_more_than_the_system_takes_in_unread(leave: Callable[[Raw], None], ahead: bytes) -> None:
+    # The close is behind it: the system hears of none before there is room for what was sent ahead of it.
+    async def scenario() -> None:
+        release = asyncio.Event()
+
+        async def script(peer: Peer, reader: Reader, writer: Writer) -> None:
+            peer.requests.append(await read_message(reader))
+            await release.wait()
+            writer.write(NOT_RUN)
+            await reader.read()
+
+        server = await Peer(script).start()
+        made = gateway(server.address, server.address)
+        client = Raw(made, ask("post"))
+        await until(lambda: len(server.requests) == 1)
+        await fill(made, client.socket, ahead)
+        leave(client)
+        release.set()
+        await until(lambda: not made.runtime._in_flight and not made.runtime._policy.in_flight)
+        assert len(server.requests) == 1
+
+    run(scenario())
+
+
+def test_one_that_may_have_left_unseen_gets_the_answer_of_the_attempt_that_is_out() -> None:
+    async def scenario() -> None:
+        release = asyncio.Event()
+
+        async def script(peer: Peer, reader: Reader, writer: Writer) -> None:
+            while True:
+                peer.requests.append(await read_message(reader))
+                if len(peer.requests) > QUICK:
+                    await release.wait()
+                writer.write(OK)
+
+        server = await Peer(script).start()
+        made = gateway(server.address, server.address)
+        client = await Client.to(made)
+        for _ in range(QUICK):
+            assert (await client.send(ask()))[0] == 200
+        client.writer.close()
+        late = Raw(made, ask())
+        await until(lambda: len(server.requests) == QUICK + 1)
+        seen = before_assign(made, 2, lambda: None)
+        await fill(made, late.socket, b"\x00" * 40)
+        await until(lambda: len(seen) == 1)  # a hedge was decided
+        release.set()
+        assert (await asyncio.get_running_loop().sock_recv(late.socket, 12)) == b"HTTP/1.1 200"
+        assert len(server.requests) == QUICK + 1
+        late.close()
+
+    run(scenario())
+
+
+def test_each_request_of_one_that_writes_far_ahead_and_stays_is_answered() -> None:
+    async def scenario() -> None:
+        server = await answering(OK)
+        made = gateway(server.address)
+        client, count = await Client.to(made), 600
+        client.writer.write(b"".join(ask("post") for _ in range(count)))
+        statuses = [(await client.answer())[0] for _ in range(count)]
+        assert set(statuses) <= {200, 502}  # 502 while its end would have been hidden
+        assert statuses.count(200) == len(server.requests)
+        assert statuses[-1] == 200
+        assert (await client.send(ask("post")))[0] == 200
+
+    run(scenario())
