Answer the requests that were read behind one that is refused

Cause: a Refusal raised by ClientOwner.take (ClientConnection._next) set keep_alive to False, and _answer closed the connection while `ready` still held whole requests: these had been read and got no answer.

Ruled out: two good requests ahead of junk are answered, then the junk (test kept; the old code passes).

Change: after such a refusal nothing further is read, as after junk; what was read is answered, and the last answer says `Connection: close`. The connection then lingers for LINGER_S as behind junk, where it was closed at once.

test_nothing_is_taken_after_the_last_request_of_a_connection demanded the fault: a good request behind a refused one was to go without an answer. It now has the connection's last request be one that says `Connection: close`, with all assertions kept, and a new test asks for each answer in order, for `close` on the last one alone, and for the end of the connection. On the code before the new test fails in both cases, as the connection ends with the first refusal.

--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -132,8 +132,11 @@
     def _refuse(self, refusal: Refusal) -> None:
         if self.deaf:
             return
-        self.deaf = True
         self.ready.append(refusal)
+        self._stop_reading()
+
+    def _stop_reading(self) -> None:
+        self.deaf = True
         if not self.paused and self.transport is not None:
             # Guards against spending time on all that a refused client goes on to send.
             self._pause()
@@ -199,12 +202,14 @@
                 self.keep_alive = message.keep_alive
                 self.number = self.owner.take(self, message)
             except Refusal as refusal:
-                # Guards against a client that sends the same again and again: it has to connect again, too.
-                self.keep_alive = False
+                # Guards against a client that sends the same again and again: it has to connect again, once
+                # the requests that were read behind this one have their answers.
+                self._stop_reading()
+                self.keep_alive = bool(self.ready)
                 self._answer(
                     refusal.status, str(refusal).encode(), COME_BACK if refusal.status == 503 else b""
                 )
-                return
+                continue
             except Exception:
                 # Guards against a fault in one request ending more than that request.
                 log.exception("a request failed")
@@ -241,7 +246,8 @@
             self._release()
         if self.transport is None:
             return
-        keep = self.keep_alive and not (self.owner.ending and self._said_all())
+        last = self.deaf and not self.ready  # of what was read, and nothing further is
+        keep = self.keep_alive and not last and not (self.owner.ending and self._said_all())
         self.transport.write(
             b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b%b\r\n%b"
             % (
