--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -12,6 +12,7 @@
 import httptools
 
 from gingerworks.gateway import clock, numerals
+from gingerworks.gateway.arrival import Arrivals
 from gingerworks.gateway.backend import Answer
 from gingerworks.gateway.client_owner import ClientOwner
 from gingerworks.gateway.requests import BODY_BYTES, HEAD_BYTES, Message, Refusal
@@ -24,6 +25,10 @@
 )  # for the first request since the connection came, a further one since it began
 IDLE_NS = 3 * clock.NS_PER_S  # between requests
 UNREAD_NS = 2 * clock.NS_PER_S  # for a client to take its answer
+# Unread on a connection that is not read, from which on its end may be hidden: the system takes in only so
+# much, and a close lies behind it.  That is 65,000 to 130,000 bytes by default, and less of small segments.
+HIDING_BYTES = 60 * 1024
+HIDING_REFUSED_BYTES = 8 * 1024  # ... where none of it will be read
 LINGER_S = 0.3  # for a client to read why it was refused while it still sends
 COME_BACK = b"Retry-After: 0.100\r\n"  # with a refusal for want of room
 
@@ -48,6 +53,7 @@
         self.ready: deque[Message | Refusal] = deque()
         self.number: int | None = None  # of the request that is held
         self.since = clock.now()  # what is waited for now
+        self.arrivals = Arrivals(sock, owner.backlog_empty_at)
         self.asked = False  # a whole request has come
         self.leaving = False  # the last answer was written: nothing further is read or asked
         self.deaf = False  # nothing further is read
@@ -57,6 +63,7 @@
         self.reading = self.in_head = False  # a message that is not whole yet, and its head
         self.begun = self.unfinished = 0  # messages begun with the last data; bytes of an unfinished one
         self.stored = 0  # bytes of bodies that were read here
+        self.arrived_at = 0  # when the data that is being parsed came, at the earliest
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Transport's callback."""
@@ -84,6 +91,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Transport's callback.  Little is read at a time, so that many who write ahead pile up little."""
+        self.arrivals.begin_read()
         return self.owner.buffer
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -91,6 +99,9 @@
         if self.deaf:
             return
         fresh, self.begun = not self.reading, 0
+        emptied = nbytes < len(self.owner.buffer)
+        arrival = self.arrivals.end_read(emptied)
+        self.arrived_at, waiting = arrival.earliest, len(self.ready)
         try:
             self.parser.feed_data(self.owner.buffer[:nbytes])
         except httptools.HttpParserCallbackError as fault:
@@ -102,6 +113,8 @@
             # Guards against losing a whole request for its wish to change protocols: answer in this one.
             self.deaf = True
             self.message.keep_alive = False
+        if emptied and not self.reading and len(self.ready) > waiting and self.ready[-1] is self.message:
+            self.message.arrived_at = arrival.latest  # its last byte is the last that has come
         # Guards against a head or a frame without end: the parser keeps it and tells only of whole fields.
         if self.reading and self.begun == fresh:
             self.unfinished += nbytes
@@ -109,18 +122,25 @@
                 self._refuse(Refusal(431, "the request is too large"))
         self._next()
         if len(self.ready) > PIPELINED and not self.paused and self.transport is not None:
-            self.paused = True
-            self.transport.pause_reading()
+            self._pause()
+
+    def _pause(self) -> None:
+        assert self.transport is not None
+        self.paused = True
+        self.arrivals.pause()
+        self.transport.pause_reading()
 
     def _refuse(self, refusal: Refusal) -> None:
         if self.deaf:
             return
-        self.deaf = True
         self.ready.append(refusal)
+        self._stop_reading()
+
+    def _stop_reading(self) -> None:
+        self.deaf = True
         if not self.paused and self.transport is not None:
             # Guards against spending time on all that a refused client goes on to send.
-            self.paused = True
-            self.transport.pause_reading()
+            self._pause()
 
     def on_message_begin(self) -> None:
         """Parser's callback."""
@@ -163,6 +183,7 @@
         """Parser's callback."""
         self.reading = False
         self.message.keep_alive = self.parser.should_keep_alive()
+        self.message.arrived_at = self.arrived_at
         self.ready.append(self.message)
 
     def _next(self) -> None:
@@ -182,12 +203,14 @@
                 self.keep_alive = message.keep_alive
                 self.number = self.owner.take(self, message)
             except Refusal as refusal:
-                # Guards against a client that sends the same again and again: it has to connect again, too.
-                self.keep_alive = False
+                # Guards against a client that sends the same again and again: it has to connect again, once
+                # the requests that were read behind this one have their answers.
+                self._stop_reading()
+                self.keep_alive = bool(self.ready)
                 self._answer(
                     refusal.status, str(refusal).encode(), COME_BACK if refusal.status == 503 else b""
                 )
-                return
+                continue
             except Exception:
                 # Guards against a fault in one request ending more than that request.
                 log.exception("a request failed")
@@ -224,7 +247,8 @@
             self._release()
         if self.transport is None:
             return
-        keep = self.keep_alive and not (self.owner.ending and self._said_all())
+        last = self.deaf and not self.ready  # of what was read, and nothing further is
+        keep = self.keep_alive and not last and not (self.owner.ending and self._said_all())
         self.transport.write(
             b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b%b\r\n%b"
             % (
@@ -275,6 +299,16 @@
         except OSError:
             return False  # not known for now: whoever has not gone is owed an answer
 
+    def close_may_be_hidden(self) -> bool:
+        """Whether the client may have closed its connection, unseen for what it sent ahead."""
+        if not self.paused:
+            return False
+        enough = HIDING_REFUSED_BYTES if self.deaf else HIDING_BYTES
+        try:
+            return len(self.socket.recv(enough, socket.MSG_PEEK)) == enough
+        except OSError:
+            return False
+
     def _release(self) -> None:
         self.owner.store(-self.stored)
         self.stored = 0
--- a/gingerworks/gateway/frontend.py
+++ b/gingerworks/gateway/frontend.py
@@ -7,6 +7,7 @@
 import select
 import socket
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 
 from gingerworks import interface as io
@@ -49,6 +50,7 @@
         self._accepting: set[asyncio.Task[Any]] = set()
         self._listener: socket.socket | None = None
         self._reading = False
+        self.backlog_empty_at = clock.now()
         self._accept_fault = 0  # the errno that the operator was told of last; none since one was accepted
         self._shutdown = GracefulShutdown(settings.classes)
         self._refuse_unfinished: asyncio.TimerHandle | None = None
@@ -76,7 +78,7 @@
     def _resume(self) -> None:
         if self._listener is not None and not self._reading:
             try:
-                self.loop.add_reader(self._listener.fileno(), self._accept)
+                self.loop.add_reader(self._listener.fileno(), self._acceptable)
             except OSError as fault:
                 # Guards against a loop that is short for a moment never hearing of newcomers again.
                 self._tell_accept_fault(fault.errno or 0)
@@ -89,6 +91,11 @@
             self._reading = False
             self.loop.remove_reader(self._listener.fileno())
 
+    def _acceptable(self) -> None:
+        began = clock.now()
+        if self._accept():
+            self.backlog_empty_at = began
+
     def _accept(self) -> bool:
         """Take in who waits, so many at once; whether nobody waits any more."""
         for _ in range(ACCEPT_AT_ONCE):
@@ -201,6 +208,8 @@
                 raise Refusal(405, "GET only")
             return None
         request = self._checks.request(message)
+        waited = clock.now() - message.arrived_at
+        request = replace(request, ttl_ns=request.ttl_ns - waited)
         return self.runtime.taken(client, request, message.head(), message.body)
 
     def cancelled(self, number: int) -> None:
