Leave no request that was read without its answer: slow readers, lingers, Upgrade with a body

Three places, each with a test that fails on the code before. A request read while earlier answers wait for a slow client stayed in the table of idle connections, so that SIGTERM or want of room closed on it (ClientTable.close_idle, _evict). The close 0.3 s after a refusal cut the answers ahead of it that the client was still taking (ClientConnection._answer); check_time ends such a connection in its time. A request with Upgrade and a body was sent on without its body, which the parser takes for what follows a change of protocols; it is answered 400 now.

--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -166,6 +166,9 @@
         self.in_head = False
         self.message.method = self.parser.get_method()
         self.message.check_framing(self.parser.get_http_version())
+        if self.parser.should_upgrade() and self.message.has_body():
+            # Guards against sending it on without its body, which the parser takes for another protocol.
+            raise Refusal(400, "Upgrade on a request with a body: send it without")
         for name, value in self.message.headers:
             if name.lower() == b"expect" and value.lower() == b"100-continue" and self.transport is not None:
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -269,10 +272,15 @@
         if self.deaf:
             # Guards against a reset that overtakes the answer, as a close with data unread brings.
             self.transport.write_eof()
-            self.owner.loop.call_later(LINGER_S, self.transport.abort)
+            self.owner.loop.call_later(LINGER_S, self._end_linger)
         else:
             self.transport.close()  # what was written is sent first
 
+    def _end_linger(self) -> None:
+        """Close on what a refused client still sends, unless its answer waits for it: ``check_time`` does."""
+        if self.transport is not None and not self.unsent():
+            self.transport.abort()
+
     def _said_all(self) -> bool:
         """While ending: whether this answer is the last, as no further request has come, or begun to.
 
@@ -348,7 +356,11 @@
 
         Guards against closing on an answer that is still to be read, which the close would wait for.
         """
-        return not self.reading and not self.unsent()
+        return self.asks_nothing() and not self.unsent()
+
+    def asks_nothing(self) -> bool:
+        """Whether no request is being read here, or was read and waits for its turn."""
+        return not self.reading and not self.ready
 
     def unread(self) -> bool:
         """Whether something has come that was not read yet, or may have come.
--- a/gingerworks/gateway/client_table.py
+++ b/gingerworks/gateway/client_table.py
@@ -49,14 +49,14 @@
             state.pop(client, None)
 
     def serves_none(self) -> bool:
-        """Whether no connection holds a request that has no answer yet."""
-        return not any(client.number for client in self.open)
+        """Whether no connection holds a whole request that has no answer yet."""
+        return not any(client.number or client.ready for client in self.open)
 
     def close_idle(self) -> None:
         """Close those between requests, and those that have not asked."""
         for client in [*self.new, *self.idle]:
             # Guards against closing on a request that has come but was not read yet: it counts as taken.
-            if client.transport is not None and not client.reading and not client.unread():
+            if client.transport is not None and client.asks_nothing() and not client.unread():
                 client.transport.close()
 
     def refuse_unfinished(self) -> None:
@@ -94,8 +94,9 @@
         Guards against closing on what has come but was not read yet, and against counting on the end of one
         that cannot end yet, as it was accepted but is not attached: nobody else would go meanwhile.
         """
-        attached = (client for client in candidates if client.transport is not None and not client.unread())
-        chosen = list(islice(attached, EVICT_AT_ONCE))
+        attached = (client for client in candidates if client.transport is not None)
+        owed_nothing = (client for client in attached if not client.ready and not client.unread())
+        chosen = list(islice(owed_nothing, EVICT_AT_ONCE))
         for client in chosen:
             self._leave_states(client)
             self.evicted.add(client)
--- a/gingerworks/gateway/requests.py
+++ b/gingerworks/gateway/requests.py
@@ -75,6 +75,11 @@
         if length is not None and ((octets := numerals.whole(length)) is None or octets > BODY_BYTES):
             raise Refusal(413, "the body is too large")
 
+    def has_body(self) -> bool:
+        """Whether the head announces a body."""
+        headers = dict(self.named())
+        return headers.get(b"content-length", b"0") != b"0" or b"transfer-encoding" in headers
+
     def named(self) -> list[tuple[bytes, bytes]]:
         """The headers by lower-case names; one that must not be doubled raises ``Refusal``."""
         headers = [(name.lower(), value) for name, value in self.headers]
--- a/tests/test_gateway_clients.py
+++ b/tests/test_gateway_clients.py
@@ -604,6 +604,18 @@
     run(scenario())
 
 
+def test_a_wish_to_upgrade_does_not_cost_a_request_its_body() -> None:
+    # It was sent on without its body, which the parser took for what comes after a change of protocols.
+    async def scenario() -> None:
+        server = await answering(OK)
+        client = await Client.to(gateway(server.address))
+        request = ask("post", body=b"a" * 10, Connection="Upgrade", Upgrade="h2c")
+        assert (await client.send(request))[0] == 400
+        assert server.requests == []
+
+    run(scenario())
+
+
 def test_a_wish_to_upgrade_does_not_lose_the_request() -> None:
     async def scenario() -> None:
         server = await answering(OK)
--- a/tests/test_gateway_end.py
+++ b/tests/test_gateway_end.py
@@ -221,6 +221,63 @@
     run(scenario())
 
 
+async def slow_reader(made: Gateway) -> tuple[socket.socket, client_module.ClientConnection]:
+    """A client that takes little at a time, and its connection at the gateway."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, made.frontend.address)
+    await until(lambda: any(client.transport for client in made.frontend.clients.open))
+    (client,) = made.frontend.clients.open
+    client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    return sock, client
+
+
+LONG = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + b"a" * 60_000
+
+
+def test_a_request_that_waits_behind_answers_not_taken_yet_is_answered() -> None:
+    # It was read, and the connection counted as idle all the same: SIGTERM closed it.
+    async def scenario() -> None:
+        server = await answering(LONG)
+        made = gateway(server.address)
+        sock, client = await slow_reader(made)
+        sock.send(ask() + ask())
+        await until(lambda: client.full)
+        sock.send(ask())
+        await until(lambda: bool(client.ready))
+        made.frontend.end()
+        reader, writer = await asyncio.open_connection(sock=sock)
+        for _ in range(3):
+            assert (await read_message(reader)).startswith(b"HTTP/1.1 200")
+        writer.close()
+        await made.ended()
+
+    run(scenario())
+
+
+def test_answers_ahead_of_a_refusal_are_not_cut_while_the_client_takes_them(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # 0.3 s after the refusal the connection was closed, whatever of the answers had gone out.
+    monkeypatch.setattr(client_module, "LINGER_S", 0.0)
+
+    async def scenario() -> None:
+        server = await answering(LONG)
+        made = gateway(server.address)
+        sock, client = await slow_reader(made)
+        sock.send(ask() + b"\x00\r\n\r\n")
+        await until(lambda: client.leaving)
+        assert client.unsent()
+        await asyncio.sleep(0.05)  # the timer has rung
+        reader, writer = await asyncio.open_connection(sock=sock)
+        assert (await read_message(reader)).startswith(b"HTTP/1.1 200")
+        assert (await read_message(reader)).startswith(b"HTTP/1.1 400")
+        writer.close()
+
+    run(scenario())
+
+
 def test_a_hung_server_holds_no_answer_past_its_time_at_the_end() -> None:
     async def scenario() -> None:
         server, _ = await holding()
