--- a/tests/test_shutdown_deadline.py
+++ b/tests/test_shutdown_deadline.py
@@ -21,6 +21,7 @@
 from gingerworks import interface as io
 from gingerworks.gateway import clock
 from gingerworks.gateway.__main__ import Gateway
+from gingerworks.gateway.config import Address
 from gingerworks.gateway.dial import Dial
 from tests import loopback, virtual_time
 from tests.loopback import (
@@ -70,6 +71,13 @@
     virtual_time.run(scenario)
 
 
+def accepting(*servers: Address, **changes: Any) -> Gateway:
+    """A gateway that takes in clients, though discovery has not answered."""
+    made = gateway(*servers, **changes)
+    made.frontend.accept()
+    return made
+
+
 async def hanging() -> Peer:
     """A server that takes every request and answers none, all through the shutdown."""
 
@@ -92,6 +100,14 @@
     async def to(cls, made: Gateway) -> Sender:
         return cls(*await asyncio.open_connection(*made.frontend.address))
 
+    @classmethod
+    async def asking(cls, made: Gateway, request: bytes) -> Sender:
+        """A client whose request the gateway has read."""
+        sender = await cls.to(made)
+        sender.send(request)
+        await asyncio.sleep(0.01)
+        return sender
+
     def send(self, request: bytes) -> None:
         self.sent_s = now_s()
         self.writer.write(request)
@@ -157,8 +173,7 @@
     # The reported loss: it had its full deadline, however late it came, and its server hung.
     async def scenario() -> None:
         server = await hanging()
-        made = gateway(server.address, settings=settings(deadline_s))
-        made.frontend.accept()
+        made = accepting(server.address, settings=settings(deadline_s))
         termination = Termination(made, deadline_s)
         await termination.moment(0.35)
         late = await Sender.to(made)
@@ -180,8 +195,7 @@
     # A connection with more to read stays open, so that clients who write ahead are heard to the end.
     async def scenario() -> None:
         server = await hanging()
-        made = gateway(server.address, settings=settings(deadline_s))
-        made.frontend.accept()
+        made = accepting(server.address, settings=settings(deadline_s))
         sender = await Sender.to(made)
         sent = answered = 0
 
@@ -212,11 +226,8 @@
 def test_a_request_taken_before_sigterm_keeps_its_time_where_sigkill_leaves_it() -> None:
     async def scenario() -> None:
         server = await hanging()
-        made = gateway(server.address, settings=settings(1.0))
-        made.frontend.accept()
-        sender = await Sender.to(made)
-        sender.send(ask(left="1.000"))
-        await asyncio.sleep(0.01)
+        made = accepting(server.address, settings=settings(1.0))
+        sender = await Sender.asking(made, ask(left="1.000"))
         termination = Termination(made, 1.0)
         status, _ = await sender.answer()
         assert status == 503
@@ -230,11 +241,8 @@
     # Clients of a class with 8 s may wait so long, the supervisor counts 3 s.
     async def scenario() -> None:
         server = await hanging()
-        made = gateway(server.address, settings=settings(8.0))
-        made.frontend.accept()
-        sender = await Sender.to(made)
-        sender.send(ask("post", left="8.000"))
-        await asyncio.sleep(0.01)
+        made = accepting(server.address, settings=settings(8.0))
+        sender = await Sender.asking(made, ask("post", left="8.000"))
         termination = Termination(made, 8.0)
         assert (await sender.answer())[0] == 502
         assert termination.kill_s - 0.5 < sender.answered_s < termination.kill_s
@@ -246,8 +254,7 @@
 def test_with_less_than_the_aim_left_a_request_is_refused_at_once_and_not_forwarded() -> None:
     async def scenario() -> None:
         server = await answering(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-        made = gateway(server.address, settings=settings(1.0, aim_s=0.9))
-        made.frontend.accept()
+        made = accepting(server.address, settings=settings(1.0, aim_s=0.9))
         termination = Termination(made, 1.0)
         await termination.moment(0.05)
         late = await Sender.to(made)
@@ -268,8 +275,7 @@
     # The connection comes up just then, and the request would go out on it.
     async def scenario() -> None:
         server = await answering(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-        made = gateway(server.address, settings=settings(8.0))
-        made.frontend.accept()
+        made = accepting(server.address, settings=settings(8.0))
         dials: list[Dial] = []
         sender = await Sender.to(made)
         with pytest.MonkeyPatch.context() as patch:
@@ -290,8 +296,7 @@
 def test_an_attempt_that_begins_after_sigterm_tells_no_more_than_the_shutdown_leaves() -> None:
     async def scenario() -> None:
         server = await hanging()
-        made = gateway(server.address, settings=settings(8.0))
-        made.frontend.accept()
+        made = accepting(server.address, settings=settings(8.0))
         sender = await Sender.to(made)
         dials: list[Dial] = []
         with pytest.MonkeyPatch.context() as patch:
@@ -312,8 +317,7 @@
 def test_who_waits_in_the_backlog_of_a_full_table_is_answered_before_sigkill() -> None:
     async def scenario() -> None:
         server = await hanging()
-        made = gateway(server.address, settings=settings(1.0), limits={"sockets": 64})
-        made.frontend.accept()
+        made = accepting(server.address, settings=settings(1.0), limits={"sockets": 64})
         held = [await Sender.to(made) for _ in range(made.frontend.clients.budget)]
         for sender in held:
             sender.send(ask(left="1.000"))
@@ -350,11 +354,8 @@
 def test_a_client_that_stops_half_way_is_told_so_and_holds_nobody(deadline_s: float) -> None:
     # The process ended under it in silence, though the rest may have come just then.
     async def scenario() -> None:
-        made = gateway(settings=settings(deadline_s))
-        made.frontend.accept()
-        sender = await Sender.to(made)
-        sender.send(ask()[:60])
-        await asyncio.sleep(0.01)
+        made = accepting(settings=settings(deadline_s))
+        sender = await Sender.asking(made, ask()[:60])
         termination = Termination(made, deadline_s)
         status, head = await sender.answer()
         assert status == 503
@@ -370,8 +371,7 @@
     async def scenario() -> None:
         body = b"a" * 60_000
         server = await answering(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
-        made = gateway(server.address, settings=settings(2.5))
-        made.frontend.accept()
+        made = accepting(server.address, settings=settings(2.5))
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         sock.setblocking(False)
@@ -398,8 +398,7 @@
 ) -> None:
     async def scenario() -> None:
         server = await hanging()
-        made = gateway(server.address, settings=settings(1.0))
-        made.frontend.accept()
+        made = accepting(server.address, settings=settings(1.0))
         termination = Termination(made, 1.0)
         await termination.moment(0.2)
         late = await Sender.to(made)
@@ -423,11 +422,8 @@
 def test_a_process_held_up_as_the_answers_are_due_gives_them_ahead_of_sigkill() -> None:
     async def scenario() -> None:
         server = await hanging()
-        made = gateway(server.address, settings=settings(8.0))
-        made.frontend.accept()
-        sender = await Sender.to(made)
-        sender.send(ask("post", left="8.000"))
-        await asyncio.sleep(0.01)
+        made = accepting(server.address, settings=settings(8.0))
+        sender = await Sender.asking(made, ask("post", left="8.000"))
         termination = Termination(made, 8.0)
         schedule = made.frontend._shutdown.schedule
         hold_loop_until((schedule.answers_due_ns - UNIX_NS) / clock.NS_PER_S + HELD_UP_S)
@@ -444,11 +440,10 @@
         changed = settings(8.0)
         changed["specifics"] |= {"has-counter": True, "count-wait-ns": 6 * clock.NS_PER_S}
         place = f"{counter.address[0]}:{counter.address[1]}"
-        made = gateway(server.address, settings=changed, counter=place)
-        made.frontend.accept()
-        sender = await Sender.to(made)
-        sender.send(ask("post", left="8.000", X_Contract="small", X_Metering="units=6,spread=3,first=1"))
-        await asyncio.sleep(0.01)
+        made = accepting(server.address, settings=changed, counter=place)
+        sender = await Sender.asking(
+            made, ask("post", left="8.000", X_Contract="small", X_Metering="units=6,spread=3,first=1")
+        )
         assert counter.requests
         termination = Termination(made, 8.0)
         status, head = await sender.answer()
@@ -464,11 +459,8 @@
 def test_a_reload_leaves_the_shutdown_as_it_is(tmp_path: Path) -> None:
     async def scenario() -> None:
         server = await hanging()
-        made = gateway(server.address, settings=settings(1.0))
-        made.frontend.accept()
-        sender = await Sender.to(made)
-        sender.send(ask("post", left="1.000"))
-        await asyncio.sleep(0.01)
+        made = accepting(server.address, settings=settings(1.0))
+        sender = await Sender.asking(made, ask("post", left="1.000"))
         termination = Termination(made, 1.0)
         schedule = made.frontend._shutdown.schedule
         file = tmp_path / "config.json"
