Mend what a review of the change found: pauses, spins under shortage, the clock's check

- After a pause in reading had ended, what came next counted as if it had come during it (Arrivals kept its pause until a read that emptied the socket): 1.571 s was told where 1.98 s were left, and short requests were refused.
Arrivals.resume ends the pause where nothing is unread.
- A receive without buffers was made again in each turn of the loop, over 5,000 times in 0.05 s; servers' and the counter's connections are read again after 10 ms.
- Two lists that tell only of servers started over a minute ago took a true clock for wrong; it takes a quarter of an hour now, which steps by an hour still pass and servers that load for minutes do not.
- A request whose client may have left unseen was answered as failed after attempts that met nobody, and with Retry-After where the settings have none.
- A request is built once for the module, as its turn comes; a fault in that no longer stops the turns.

--- a/gingerworks/gateway/arrival.py
+++ b/gingerworks/gateway/arrival.py
@@ -54,6 +54,14 @@
         """Nothing is read for now: what comes meanwhile may wait for as long as that lasts."""
         self._paused = True
 
+    def resume(self, began_at: int, emptied: bool) -> None:
+        """Reading goes on; ``emptied``: nothing lay unread at ``began_at``.
+
+        Guards against counting what comes after a pause as if it had come during it.
+        """
+        if emptied:
+            self._empty_at, self._paused = began_at, False
+
     def end_read(self, emptied: bool) -> Arrival:
         """When the data of this read came; ``emptied``: nothing was left unread as it began."""
         now = clock.now()
--- a/gingerworks/gateway/backend.py
+++ b/gingerworks/gateway/backend.py
@@ -15,7 +15,13 @@
 from gingerworks.gateway.dial import Dial, DialError, DialFailure
 from gingerworks.gateway.discovery import Change, Endpoint
 from gingerworks.gateway.staleness import AT_ONCE_NS, Staleness
-from gingerworks.gateway.system_errors import DESCRIPTOR_SHORTAGE, SHORTAGE, TRY_AGAIN, explain
+from gingerworks.gateway.system_errors import (
+    DESCRIPTOR_SHORTAGE,
+    SHORTAGE,
+    SHORTAGE_PAUSE_S,
+    TRY_AGAIN,
+    explain,
+)
 
 IDLE_SHARE = 0.4  # of the time after which a server closes an idle connection at the latest
 BODY_BYTES = 64 * 1024
@@ -156,6 +162,8 @@
         try:
             data = self.socket.recv(65536)
         except OSError as fault:
+            if fault.errno in SHORTAGE:
+                return self._read_later()
             if fault.errno in TRY_AGAIN:
                 return None  # the connection lives, and what has come stays in the kernel
             data, self.until_closed = b"", False  # a reset is no end
@@ -178,6 +186,20 @@
                 return self._unreadable(str(fault.__context__ or fault))
         return self._judge()
 
+    def _read_later(self) -> None:
+        """Guards against a spin: a socket counts as readable while this host has no buffers to read it."""
+        assert self.socket is not None
+        self.backends.loop.remove_reader(self.socket.fileno())
+        self.backends.loop.call_later(SHORTAGE_PAUSE_S, self._read_on, self.socket)
+
+    def _read_on(self, sock: socket.socket) -> None:
+        if self.socket is not sock:
+            return  # it was closed meanwhile
+        try:
+            self.backends.loop.add_reader(sock.fileno(), self.readable)
+        except OSError:
+            self._read_later()
+
     def _closed(self) -> None:
         """The connection has ended: so has an answer that states no length, any other is cut."""
         if self.until_closed and not self.complete:
--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -130,6 +130,13 @@
         self.arrivals.pause()
         self.transport.pause_reading()
 
+    def _resume(self) -> None:
+        assert self.transport is not None
+        self.paused = False
+        began_at = clock.now()
+        self.arrivals.resume(began_at, emptied=not self.unread())
+        self.transport.resume_reading()
+
     def _refuse(self, refusal: Refusal) -> None:
         if self.deaf:
             return
@@ -222,8 +229,7 @@
             if self.number is None:
                 self._answer(200, b"ok")
         if self.paused and not self.deaf and len(self.ready) <= PIPELINED and self.transport is not None:
-            self.paused = False
-            self.transport.resume_reading()
+            self._resume()
 
     def served(self, answer: Answer) -> None:
         """Pass on a server's answer."""
--- a/gingerworks/gateway/clock_check.py
+++ b/gingerworks/gateway/clock_check.py
@@ -11,7 +11,9 @@
 
 from gingerworks.gateway import clock
 
-LATEST_NS = 60 * clock.NS_PER_S  # a start is told later than this only after a long outage of discovery
+# A start that is told later than this shows a wrong clock: servers that take a minute to be listed, or lists
+# that catch up after an outage of discovery, stay below it.
+LATEST_NS = 900 * clock.NS_PER_S
 BEHIND_NS = clock.NS_PER_S  # more than synchronized clocks of two machines differ by
 LISTS = 2  # in a row: one may come after an outage of discovery, or name a server whose own clock is wrong
 
--- a/gingerworks/gateway/counter.py
+++ b/gingerworks/gateway/counter.py
@@ -13,7 +13,7 @@
 from gingerworks.gateway import clock, numerals
 from gingerworks.gateway.config import Address
 from gingerworks.gateway.dial import Dial, DialError, DialFailure
-from gingerworks.gateway.system_errors import SHORTAGE, TRY_AGAIN, explain
+from gingerworks.gateway.system_errors import SHORTAGE, SHORTAGE_PAUSE_S, TRY_AGAIN, explain
 
 REST_NS = (
     3 * clock.NS_PER_S
@@ -22,7 +22,6 @@
 CONNECT_S = 0.25
 FIRST_PAUSE_NS = 50 * clock.NS_PER_MS
 LONGEST_PAUSE_NS = clock.NS_PER_S
-SHORTAGE_PAUSE_S = 0.01  # before a write is tried again for which this host had no buffers
 MOST_CALLS = 4096  # waiting on one connection; more are turned away here
 LINE_BYTES = 256
 LONGEST_LIFE_MS = 60_000
@@ -203,8 +202,10 @@
         try:
             data = self._socket.recv(65536)
         except OSError as fault:
+            if fault.errno in SHORTAGE:
+                return self._read_later()
             if fault.errno in TRY_AGAIN:
-                return  # the connection lives, and what has come stays in the kernel
+                return None  # the connection lives, and what has come stays in the kernel
             data = b""
         if not data:
             return self._lost()
@@ -220,6 +221,20 @@
             return self._spoilt()
         return self._maybe_close()
 
+    def _read_later(self) -> None:
+        """Guards against a spin: a socket counts as readable while this host has no buffers to read it."""
+        assert self._socket is not None
+        self._loop.remove_reader(self._socket.fileno())
+        self._loop.call_later(SHORTAGE_PAUSE_S, self._read_on, self._socket)
+
+    def _read_on(self, sock: socket.socket) -> None:
+        if self._socket is not sock:
+            return  # it was closed meanwhile
+        try:
+            self._loop.add_reader(sock.fileno(), self._readable)
+        except OSError:
+            self._read_later()
+
     def _spoilt(self) -> None:
         """What belongs to which call is not known any more; the counter is there, so no pause is due."""
         self._lost()
--- a/gingerworks/gateway/frontend.py
+++ b/gingerworks/gateway/frontend.py
@@ -7,7 +7,6 @@
 import select
 import socket
 from collections.abc import Callable, Coroutine
-from dataclasses import replace
 from typing import Any
 
 from gingerworks import interface as io
@@ -208,9 +207,7 @@
                 raise Refusal(405, "GET only")
             return None
         request = self._checks.request(message)
-        waited = clock.now() - message.arrived_at
-        request = replace(request, ttl_ns=request.ttl_ns - waited)
-        return self.runtime.taken(client, request, message.head(), message.body)
+        return self.runtime.taken(client, request, message.head(), message.body, message.arrived_at)
 
     def cancelled(self, number: int) -> None:
         """The client of a request that is not answered yet has gone."""
--- a/gingerworks/gateway/runtime.py
+++ b/gingerworks/gateway/runtime.py
@@ -7,7 +7,7 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass
 from typing import Protocol
 
 from gingerworks import interface as io
@@ -48,17 +48,19 @@
 class InFlight:
     """A request that was taken: whom it is for, what to send on, and its attempts."""
 
-    __slots__ = ("attempts", "body", "client", "deadline", "head", "open", "out", "taken_at")
+    __slots__ = ("attempts", "body", "client", "deadline", "head", "may_have_run", "open", "out", "request")
 
-    def __init__(self, client: Client, head: bytes, body: bytes) -> None:
+    def __init__(self, client: Client, request: io.Request, head: bytes, body: bytes, deadline: int) -> None:
         """``head`` lacks the time left and the empty line."""
         self.client = client
+        self.request = request
         self.head = head
         self.body = body
         self.open = True  # until it has its final answer or the client has gone
         self.attempts: list[Attempt | None] = []
         self.out = 0
-        self.taken_at = self.deadline = clock.now()
+        self.may_have_run = False  # one of its attempts may have
+        self.deadline = deadline  # of the client, or of the shutdown if that is sooner
 
     def left_ns(self) -> int:
         """What is left of the client's time."""
@@ -74,6 +76,13 @@
         return b"%bX-Time-Left: %.3f\r\n\r\n%b" % (self.head, left, self.body)
 
 
+@dataclass(frozen=True, slots=True)
+class RequestTaken:
+    """A request waits to be given to the module: how much time it has left is told only then."""
+
+    number: int
+
+
 class Runtime:
     """The only caller of the module."""
 
@@ -87,7 +96,7 @@
         self._kinds = {kind.name: kind for kind in config.settings.classes}
         self._in_flight: dict[int, InFlight] = {}
         self._serial = 0
-        self._events: list[io.Event] = []
+        self._events: list[io.Event | RequestTaken] = []
         self._planned = False
         self._answers_due: int | None = None  # from the start of the shutdown on
         # Requests that may be forgotten once the module has been told of their end.
@@ -120,28 +129,22 @@
         if self.counter is not None:
             self.counter.close()
 
-    def taken(self, client: Client, request: io.Request, head: bytes, body: bytes) -> int:
+    def taken(
+        self, client: Client, request: io.Request, head: bytes, body: bytes, arrived_at: int | None = None
+    ) -> int:
         """A client's request has come whole; the id for ``cancelled`` is returned.
 
-        ``request.id`` is set here, and ``request.ttl_ns`` is what the client stated.
+        ``request.id`` is set here, and ``request.ttl_ns`` is what the client stated as the request came.
         """
         self._serial += 1
-        number = self._serial
-        self._in_flight[number] = InFlight(client, head, body)
-        left = min(request.ttl_ns, self._kinds[request.class_name].deadline_ns)
-        ttl = left - int(min(MARGIN_NS, MARGIN_SHARE * left))
-        self._post(
-            io.Request(
-                id=number,
-                class_name=request.class_name,
-                plan=request.plan,
-                customer=request.customer,
-                entries=request.entries,
-                ttl_ns=ttl,
-                units=request.units,
-                is_retry=request.is_retry,
-            )
-        )
+        number, now = self._serial, clock.now()
+        waited = 0 if arrived_at is None else now - arrived_at
+        left = min(request.ttl_ns - waited, self._kinds[request.class_name].deadline_ns)
+        deadline = now + left - int(min(MARGIN_NS, MARGIN_SHARE * max(0, left)))
+        if self._answers_due is not None:
+            deadline = min(deadline, self._answers_due)
+        self._in_flight[number] = InFlight(client, request, head, body, deadline)
+        self._post(RequestTaken(number))
         return number
 
     def begin_shutdown(self, answers_due_ns: int) -> None:
@@ -166,7 +169,7 @@
         mode = io.ListMode.CACHED if cached else io.ListMode.FULL if change.full else io.ListMode.DELTA
         self._post(io.ServersChanged(mode, tuple(endpoint.server for endpoint in change.endpoints)))
 
-    def _post(self, event: io.Event) -> None:
+    def _post(self, event: io.Event | RequestTaken) -> None:
         """Queue an event: the module sees all of one turn of the loop at once."""
         self._events.append(event)
         if not self._planned:
@@ -176,10 +179,10 @@
     def _turn(self) -> None:
         self._planned = False
         now = clock.now()
-        events, self._events = [self._as_of(now, event) for event in self._events], []
+        events, self._events = self._events, []
         done, self._done = self._done, []
         try:
-            actions = self._policy.handle(now, events)
+            actions = self._policy.handle(now, [self._as_of(now, event) for event in events])
         except Exception:
             log.exception("the module failed; what was in flight is answered as failed, and it starts anew")
             self._start_anew()
@@ -200,15 +203,22 @@
             if inflight is not None and not inflight.open and not inflight.out:
                 del self._in_flight[number]
 
-    def _as_of(self, now: int, event: io.Event) -> io.Event:
+    def _as_of(self, now: int, event: io.Event | RequestTaken) -> io.Event:
         """The event; a request with the time that is left now, as it may have been queued for long."""
-        if not isinstance(event, io.Request):
+        if not isinstance(event, RequestTaken):
             return event
-        inflight = self._in_flight[event.id]
-        inflight.deadline = inflight.taken_at + event.ttl_ns
-        if self._answers_due is not None:
-            inflight.deadline = min(inflight.deadline, self._answers_due)
-        return replace(event, ttl_ns=inflight.deadline - now)
+        inflight = self._in_flight[event.number]
+        asked = inflight.request
+        return io.Request(
+            id=event.number,
+            class_name=asked.class_name,
+            plan=asked.plan,
+            customer=asked.customer,
+            entries=asked.entries,
+            ttl_ns=inflight.deadline - now,
+            units=asked.units,
+            is_retry=asked.is_retry,
+        )
 
     def _start_anew(self) -> None:
         """A module that has raised knows no longer what is out: begin as after a restart."""
@@ -272,10 +282,12 @@
 
     def _give_up_unseen(self, number: int, inflight: InFlight) -> None:
         """End a request whose client may have left unseen: refused, unless an attempt may have run."""
-        if len(inflight.attempts) > 1:
+        limits = self._config.settings.limits
+        if inflight.may_have_run:
             inflight.client.failed()
         else:
-            inflight.client.refused(min(SOON_NS, self._config.settings.limits.max_retry_after_ns), False)
+            most = limits.max_retry_after_ns if limits.retry_after else 0
+            inflight.client.refused(min(SOON_NS, most), False)
         self.cancelled(number)
 
     def _ended(
@@ -289,6 +301,7 @@
     ) -> None:
         inflight.attempts[number] = None
         inflight.out -= 1
+        inflight.may_have_run = inflight.may_have_run or not status.never_ran
         first = status is io.Status.DELIVERED and inflight.open
         if first:
             assert answer is not None
--- a/gingerworks/gateway/system_errors.py
+++ b/gingerworks/gateway/system_errors.py
@@ -13,6 +13,8 @@
 # This host is short of something for a moment; no peer has a part in it.
 SHORTAGE = DESCRIPTOR_SHORTAGE | {errno.ENOBUFS, errno.ENOMEM}
 
+SHORTAGE_PAUSE_S = 0.01  # before a read or write is tried again for which this host had no buffers
+
 # The call has done nothing, and the same call may succeed later on the same connection.
 TRY_AGAIN = frozenset({errno.EAGAIN, errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
 
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -15,6 +15,7 @@
 from gingerworks.gateway import backend, frontend
 from gingerworks.gateway.__main__ import Gateway
 from gingerworks.gateway.client import ClientConnection
+from gingerworks.gateway.config import Address
 from gingerworks.gateway.dial import Dial
 from tests.loopback import (
     NOT_RUN,
@@ -26,6 +27,7 @@
     Writer,
     answering,
     ask,
+    closed_port,
     gateway,
     read_message,
     run,
@@ -574,6 +576,31 @@
     run(scenario())
 
 
+def test_one_that_may_have_left_unseen_is_refused_where_nothing_may_have_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # It counted as failed for attempts that had met nobody.
+    async def scenario() -> None:
+        made = gateway(closed_address(), closed_address())
+        asked: list[ClientConnection] = []
+
+        def hidden(connection: ClientConnection) -> bool:
+            asked.append(connection)
+            return len(asked) > 2  # after the first attempt's two looks at the most
+
+        monkeypatch.setattr(ClientConnection, "close_may_be_hidden", hidden)
+        status, head, _ = await (await Client.to(made)).send(ask("post"))
+        assert len(asked) > 2
+        assert status == 429
+        assert b"Retry-After" in head
+
+    run(scenario())
+
+
+def closed_address() -> Address:
+    return ("127.0.0.1", closed_port())
+
+
 def test_one_that_may_have_left_unseen_gets_the_answer_of_the_attempt_that_is_out() -> None:
     async def scenario() -> None:
         release = asyncio.Event()
--- a/tests/test_shutdown_deadline.py
+++ b/tests/test_shutdown_deadline.py
@@ -419,6 +419,23 @@
     play(scenario())
 
 
+def test_a_module_that_starts_anew_during_the_shutdown_refuses_what_has_too_little_time() -> None:
+    async def scenario() -> None:
+        server = await hanging()
+        made = accepting(server.address, settings=settings(1.0, aim_s=0.9))
+        termination = Termination(made, 1.0)
+        await termination.moment(0.2)
+        late = await Sender.to(made)
+        made.runtime._start_anew()
+        await termination.moment(0.75)
+        late.send(ask("post", left="1.000"))
+        assert (await late.answer())[0] == 429
+        assert server.requests == []
+        await termination.ended()
+
+    play(scenario())
+
+
 def test_a_process_held_up_as_the_answers_are_due_gives_them_ahead_of_sigkill() -> None:
     async def scenario() -> None:
         server = await hanging()
--- a/tests/test_system_call_faults.py
+++ b/tests/test_system_call_faults.py
@@ -16,6 +16,7 @@
 import pytest
 
 from gingerworks import interface as io
+from gingerworks.gateway import backend as backend_module
 from gingerworks.gateway import client as client_module
 from gingerworks.gateway import client_table, clock, dial, discovery, frontend, shutdown
 from gingerworks.gateway import counter as counter_module
@@ -437,6 +438,50 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("code", [errno.ENOBUFS, errno.ENOMEM], ids=shown)
+def test_a_lasting_want_of_buffers_at_a_server_is_met_by_pauses(
+    code: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Each turn of the loop tried anew, with all of a core, until the attempt's time was over.
+    monkeypatch.setattr(backend_module, "SHORTAGE_PAUSE_S", 3600.0)
+
+    async def scenario() -> None:
+        server = await answering(OK)
+        faults = injected(monkeypatch, Fault(Call.RECV, code, times=FOR_GOOD))
+        made, ended = backends(server.address), Ended()
+        made.start(attempt(ended))
+        await until(lambda: faults.raised[Call.RECV] > 0)
+        await asyncio.sleep(0.05)
+        assert faults.raised[Call.RECV] == 1
+        faults.failing([])
+        (connection,) = made._open
+        assert connection.socket is not None
+        connection._read_on(connection.socket)
+        await until(lambda: bool(ended))
+        assert ended[0][0] is io.Status.DELIVERED
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("code", [errno.ENOBUFS, errno.ENOMEM], ids=shown)
+def test_a_lasting_want_of_buffers_for_the_counters_answers_is_met_by_pauses(
+    code: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(counter_module, "SHORTAGE_PAUSE_S", 3600.0)
+
+    async def scenario() -> None:
+        faults = injected(monkeypatch, Fault(Call.RECV, code, times=FOR_GOOD))
+        peer = await scripted(echoing)
+        made, _ = counter(peer.address)
+        made.call(counted(1, 1.5))
+        await until(lambda: faults.raised[Call.RECV] > 0)
+        await asyncio.sleep(0.05)
+        assert faults.raised[Call.RECV] == 1
+        made.close()
+
+    run(scenario())
+
+
 def test_requests_and_answers_pass_byte_by_byte(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         server = await answering(OK)
--- a/tests/test_told_deadline.py
+++ b/tests/test_told_deadline.py
@@ -100,6 +100,36 @@
     run(scenario())
 
 
+def test_what_comes_after_a_pause_in_reading_keeps_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Whatever came next counted as if it had come while the batch before was read.
+    stepped = SteppedClock(monkeypatch)
+
+    async def scenario() -> None:
+        server = await answering(OK)
+        made = gateway(server.address)
+        client = await Client.to(made)
+        for _ in range(2):
+            client.writer.write(b"".join(ask("post") for _ in range(4)))
+            assert await answered(client, 4) == [200] * 4
+            stepped.hold_up()  # nothing is unread meanwhile
+        assert min(told(request) for request in server.requests[4:]) > LEFT_S - HELD_UP_S
+
+    run(scenario())
+
+
+def test_an_age_counts_no_further_back_than_the_backlog_was_empty(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(arrival, "last_data_age_ns", lambda sock: 3600 * clock.NS_PER_S)
+
+    async def scenario() -> None:
+        server = await answering(OK)
+        made = gateway(server.address)
+        for _ in range(2):
+            client = await Client.to(made)
+            assert (await client.send(ask("post", left="20.000")))[0] == 200
+
+    run(scenario())
+
+
 def test_to_one_that_was_read_and_waits_for_its_decision(monkeypatch: pytest.MonkeyPatch) -> None:
     stepped = SteppedClock(monkeypatch)
 
--- a/tests/test_wall_clock_steps.py
+++ b/tests/test_wall_clock_steps.py
@@ -13,8 +13,11 @@
 
 import pytest
 
+from gingerworks import interface as io
 from gingerworks.gateway import clock
 from gingerworks.gateway.__main__ import Gateway
+from gingerworks.gateway.discovery import Change, Endpoint
+from gingerworks.gateway.server_starts import ServerStarts
 from tests.loopback import (
     OK,
     SETTINGS,
@@ -390,6 +393,15 @@
         assert "restart this gateway" in text
 
 
+def test_servers_that_are_listed_long_after_their_start_disprove_no_clock() -> None:
+    # They may load for minutes first, or discovery was away: two such lists cut a fleet off the counter.
+    starts = ServerStarts()
+    for index, name in enumerate("abc"):
+        server = io.Server(name, io.Phase.READY, started_ns=clock.now() - 10 * 60 * clock.NS_PER_S)
+        starts.corrected(Change(index, index == 0, (Endpoint(server, NOBODY),)), cached=False)
+    assert starts.clock_check.agrees
+
+
 @pytest.mark.parametrize("step_s", STEPS_S)
 def test_a_step_in_a_running_process_reaches_nothing(monkeypatch: pytest.MonkeyPatch, step_s: int) -> None:
     """Slow start, the names of counts, deadlines and the ids seen of late run on as if nothing had been."""
