--- a/gingerworks/gateway/runtime.py
+++ b/gingerworks/gateway/runtime.py
@@ -7,6 +7,7 @@
 import math
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from gingerworks import interface as io
@@ -19,6 +20,7 @@
 from gingerworks.policy import Policy
 
 MARGIN_NS = 20 * clock.NS_PER_MS  # of the client's wait: for the way there and back and a busy loop
+SOON_NS = 100 * clock.NS_PER_MS  # to come back with a request that was not looked at
 MARGIN_SHARE = 0.25  # ... but no more than this part of a short wait
 
 log = logging.getLogger(__name__)
@@ -39,11 +41,14 @@
     def gone(self) -> bool:
         """Whether it has left, also where that was not read yet."""
 
+    def close_may_be_hidden(self) -> bool:
+        """Whether it might have left without that being seen, for all that it has sent ahead."""
+
 
 class InFlight:
     """A request that was taken: whom it is for, what to send on, and its attempts."""
 
-    __slots__ = ("attempts", "body", "client", "head", "open", "out")
+    __slots__ = ("attempts", "body", "client", "deadline", "head", "open", "out", "taken_at")
 
     def __init__(self, client: Client, head: bytes, body: bytes) -> None:
         """``head`` lacks the time left and the empty line."""
@@ -53,10 +58,19 @@
         self.open = True  # until it has its final answer or the client has gone
         self.attempts: list[Attempt | None] = []
         self.out = 0
+        self.taken_at = self.deadline = clock.now()
+
+    def left_ns(self) -> int:
+        """What is left of the client's time."""
+        return self.deadline - clock.now()
 
     def render(self, left_ns: int) -> bytes:
-        """The request as it goes to a server, with the time that the gateway will wait."""
-        left = max(left_ns, clock.NS_PER_MS) / clock.NS_PER_S
+        """The request as it goes to a server, with the time that the gateway will wait.
+
+        Guards against telling more than the client has left: between the decision and this the process may
+        have been held up.
+        """
+        left = max(min(left_ns, self.left_ns()), clock.NS_PER_MS) / clock.NS_PER_S
         return b"%bX-Time-Left: %.3f\r\n\r\n%b" % (self.head, left, self.body)
 
 
@@ -134,9 +148,7 @@
         """The gateway shuts down: requests have their answers by then, and no attempt begins later."""
         self._answers_due = answers_due_ns
         for inflight in self._in_flight.values():
-            for attempt in inflight.attempts:
-                if attempt is not None:
-                    attempt.until = min(attempt.until, answers_due_ns)
+            inflight.deadline = min(inflight.deadline, answers_due_ns)
         self._post(io.ShutdownStarted(answers_due_ns))
 
     def cancelled(self, number: int) -> None:
@@ -163,10 +175,11 @@
 
     def _turn(self) -> None:
         self._planned = False
-        events, self._events = self._events, []
+        now = clock.now()
+        events, self._events = [self._as_of(now, event) for event in self._events], []
         done, self._done = self._done, []
         try:
-            actions = self._policy.handle(clock.now(), events)
+            actions = self._policy.handle(now, events)
         except Exception:
             log.exception("the module failed; what was in flight is answered as failed, and it starts anew")
             self._start_anew()
@@ -187,6 +200,16 @@
             if inflight is not None and not inflight.open and not inflight.out:
                 del self._in_flight[number]
 
+    def _as_of(self, now: int, event: io.Event) -> io.Event:
+        """The event; a request with the time that is left now, as it may have been queued for long."""
+        if not isinstance(event, io.Request):
+            return event
+        inflight = self._in_flight[event.id]
+        inflight.deadline = inflight.taken_at + event.ttl_ns
+        if self._answers_due is not None:
+            inflight.deadline = min(inflight.deadline, self._answers_due)
+        return replace(event, ttl_ns=inflight.deadline - now)
+
     def _start_anew(self) -> None:
         """A module that has raised knows no longer what is out: begin as after a restart."""
         for inflight in list(self._in_flight.values()):
@@ -234,14 +257,26 @@
         return self._backends.start(attempt)
 
     def _wanted(self, number: int, inflight: InFlight) -> bool:
-        """Whether an attempt may still begin.
+        """Whether an attempt may still begin: the client waits for it, and has time left.
 
         Guards against sending on what nobody waits for: a close may lie unread behind a turn's other work,
         behind what the client wrote ahead, or behind the request itself where that was accepted late.
         """
         if inflight.open and inflight.client.gone():
             self.cancelled(number)
-        return inflight.open
+        if inflight.open and inflight.client.close_may_be_hidden():
+            if inflight.out > 1:
+                return False  # another attempt is out and may still be answered
+            self._give_up_unseen(number, inflight)
+        return inflight.open and inflight.left_ns() > 0
+
+    def _give_up_unseen(self, number: int, inflight: InFlight) -> None:
+        """End a request whose client may have left unseen: refused, unless an attempt may have run."""
+        if len(inflight.attempts) > 1:
+            inflight.client.failed()
+        else:
+            inflight.client.refused(min(SOON_NS, self._config.settings.limits.max_retry_after_ns), False)
+        self.cancelled(number)
 
     def _ended(
         self,
--- a/gingerworks/policy/driver.py
+++ b/gingerworks/policy/driver.py
@@ -140,7 +140,7 @@
     def request(self, request: io.Request) -> None:
         """Admit or refuse a request, at once."""
         inflight = self._begin(request)
-        if self._shutdown_comes_first(inflight):
+        if request.ttl_ns <= 0 or self._shutdown_comes_first(inflight):
             return self.decline(inflight, 0)
         customer, plan, units = inflight.customer, inflight.customer.plan, request.units
         inside = self.quotas.verdict(inflight, self.now)
