--- a/gingerworks/gateway/requests.py
+++ b/gingerworks/gateway/requests.py
@@ -44,7 +44,7 @@
 class Message:
     """One request as it is read."""
 
-    __slots__ = ("body", "headers", "keep_alive", "method", "size", "target")
+    __slots__ = ("arrived_at", "body", "headers", "keep_alive", "method", "size", "target")
 
     def __init__(self) -> None:
         self.target = b""
@@ -53,6 +53,7 @@
         self.size = 0
         self.body = b""
         self.keep_alive = True
+        self.arrived_at = 0  # when its last byte came
 
     def grow(self, size: int) -> None:
         """Count bytes of the head."""
@@ -74,6 +75,11 @@
         if length is not None and ((octets := numerals.whole(length)) is None or octets > BODY_BYTES):
             raise Refusal(413, "the body is too large")
 
+    def has_body(self) -> bool:
+        """Whether the head announces a body."""
+        headers = dict(self.named())
+        return headers.get(b"content-length", b"0") != b"0" or b"transfer-encoding" in headers
+
     def named(self) -> list[tuple[bytes, bytes]]:
         """The headers by lower-case names; one that must not be doubled raises ``Refusal``."""
         headers = [(name.lower(), value) for name, value in self.headers]
