--- a/gingerworks/gateway/backend.py
+++ b/gingerworks/gateway/backend.py
@@ -14,11 +14,11 @@
 from gingerworks.gateway import clock, numerals
 from gingerworks.gateway.dial import Dial, DialError, DialFailure
 from gingerworks.gateway.discovery import Change, Endpoint
+from gingerworks.gateway.read_pause import read_again_later
 from gingerworks.gateway.staleness import AT_ONCE_NS, Staleness
 from gingerworks.gateway.system_errors import (
     DESCRIPTOR_SHORTAGE,
     SHORTAGE,
-    SHORTAGE_PAUSE_S,
     TRY_AGAIN,
     explain,
 )
@@ -187,18 +187,9 @@
         return self._judge()
 
     def _read_later(self) -> None:
-        """Guards against a spin: a socket counts as readable while this host has no buffers to read it."""
-        assert self.socket is not None
-        self.backends.loop.remove_reader(self.socket.fileno())
-        self.backends.loop.call_later(SHORTAGE_PAUSE_S, self._read_on, self.socket)
-
-    def _read_on(self, sock: socket.socket) -> None:
-        if self.socket is not sock:
-            return  # it was closed meanwhile
-        try:
-            self.backends.loop.add_reader(sock.fileno(), self.readable)
-        except OSError:
-            self._read_later()
+        sock = self.socket
+        assert sock is not None
+        read_again_later(self.backends.loop, sock, self.readable, lambda: self.socket is sock)
 
     def _closed(self) -> None:
         """The connection has ended: so has an answer that states no length, any other is cut."""
--- a/gingerworks/gateway/counter.py
+++ b/gingerworks/gateway/counter.py
@@ -13,6 +13,7 @@
 from gingerworks.gateway import clock, numerals
 from gingerworks.gateway.config import Address
 from gingerworks.gateway.dial import Dial, DialError, DialFailure
+from gingerworks.gateway.read_pause import read_again_later
 from gingerworks.gateway.system_errors import SHORTAGE, SHORTAGE_PAUSE_S, TRY_AGAIN, explain
 
 REST_NS = (
@@ -222,18 +223,9 @@
         return self._maybe_close()
 
     def _read_later(self) -> None:
-        """Guards against a spin: a socket counts as readable while this host has no buffers to read it."""
-        assert self._socket is not None
-        self._loop.remove_reader(self._socket.fileno())
-        self._loop.call_later(SHORTAGE_PAUSE_S, self._read_on, self._socket)
-
-    def _read_on(self, sock: socket.socket) -> None:
-        if self._socket is not sock:
-            return  # it was closed meanwhile
-        try:
-            self._loop.add_reader(sock.fileno(), self._readable)
-        except OSError:
-            self._read_later()
+        sock = self._socket
+        assert sock is not None
+        read_again_later(self._loop, sock, self._readable, lambda: self._socket is sock)
 
     def _spoilt(self) -> None:
         """What belongs to which call is not known any more; the counter is there, so no pause is due."""
--- /dev/null
+++ b/gingerworks/gateway/read_pause.py
@@ -0,0 +1,38 @@
+"""Reads a socket again after a pause, where this host had no buffers to read it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from gingerworks.gateway.system_errors import SHORTAGE_PAUSE_S
+
+
+def read_again_later(
+    loop: asyncio.AbstractEventLoop,
+    sock: socket.socket,
+    readable: Callable[[], None],
+    held: Callable[[], bool],
+) -> None:
+    """Stop watching the socket for a while; ``held`` tells whether its owner still has it then.
+
+    Guards against a spin: a socket counts as readable while this host has no buffers to read it.
+    """
+    loop.remove_reader(sock.fileno())
+    loop.call_later(SHORTAGE_PAUSE_S, read_again, loop, sock, readable, held)
+
+
+def read_again(
+    loop: asyncio.AbstractEventLoop,
+    sock: socket.socket,
+    readable: Callable[[], None],
+    held: Callable[[], bool],
+) -> None:
+    """Watch the socket again, unless it was closed meanwhile."""
+    if not held():
+        return
+    try:
+        loop.add_reader(sock.fileno(), readable)
+    except OSError:
+        read_again_later(loop, sock, readable, held)
