Log why requests, attempts and clients end, and the memory in use, for incidents

The logs of the report tell neither how much memory a process used nor why it refused, failed, cut off or repeated anything, so its cause could not be read from them. Each such event is now counted by its reason; the first three of a kind in 5 s are logged with the correlation id, and one status line in 5 s gives the counts, resident memory beside limits.memory_mb, and clients, requests, customers and server connections. A refusal of the decisions carries its reason (for logs only). faulthandler shows a crash in native code; the begin and the end of a shutdown are logged. limits.memory_mb is checked; nothing else follows from it yet.

--- a/gingerworks/gateway/__main__.py
+++ b/gingerworks/gateway/__main__.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import contextlib
+import faulthandler
 import gc
 import logging
 import os
@@ -22,6 +23,7 @@
 from gingerworks import interface
 from gingerworks.gateway.backend import Backends
 from gingerworks.gateway.config import Address, Config, ConfigError, load
+from gingerworks.gateway.diagnostics import Diagnostics
 from gingerworks.gateway.discovery import Change, Watch, change_from
 from gingerworks.gateway.frontend import Frontend
 from gingerworks.gateway.runtime import Runtime
@@ -46,8 +48,9 @@
         client_sockets = int((config.sockets - RESERVED_SOCKETS) * CLIENT_SOCKET_SHARE)
         server_sockets = config.sockets - RESERVED_SOCKETS - client_sockets
         self.backends = Backends(loop, config.settings, config.idle_timeout_ns, server_sockets)
-        self.runtime = Runtime(loop, config, self.backends)
-        self.frontend = Frontend(loop, self.runtime, config.settings, client_sockets)
+        self.diagnostics = Diagnostics(loop, config.memory_limit_bytes, self._gauges)
+        self.runtime = Runtime(loop, config, self.backends, self.diagnostics)
+        self.frontend = Frontend(loop, self.runtime, config.settings, client_sockets, self.diagnostics)
         self._watch_task: asyncio.Task[None] | None = None
         self._accept_task: asyncio.Task[None] | None = None
 
@@ -64,6 +67,10 @@
         self.frontend.listen(self._config.listen)
         self._accept_task = self._loop.create_task(self._accept_after_first_list(watch))
         log.info("%s: listening on %s:%d", self._config.name, *self.frontend.address)
+        self.diagnostics.start()
+
+    def _gauges(self) -> dict[str, int]:
+        return self.frontend.gauges() | self.runtime.gauges() | self.backends.gauges()
 
     async def _accept_after_first_list(self, watch: Watch) -> None:
         """Accept clients once discovery has answered or failed, or its time is over.
@@ -110,6 +117,8 @@
                 task.cancel()
         self.backends.close()
         self.runtime.close()
+        self.diagnostics.stop()
+        log.info("%s: the shutdown is complete", self._config.name)
 
 
 async def serve(config: Config) -> None:
@@ -136,6 +145,7 @@
     """Run one gateway."""
     # A SIGHUP that comes while the file is read must not be lost: it stays pending until it has a handler.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    faulthandler.enable()  # a crash in native code leaves a traceback in the log
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
         config = load(os.environ)
--- a/gingerworks/gateway/backend.py
+++ b/gingerworks/gateway/backend.py
@@ -338,6 +338,10 @@
             if previous is None or _process_identity(previous) != _process_identity(endpoint):
                 self.close_idle(server.name)
 
+    def gauges(self) -> dict[str, int]:
+        """What is in use now, for the log."""
+        return {"servers": len(self._endpoints), "server connections": len(self._open)}
+
     def servers(self) -> Iterable[interface.Server]:
         """The servers as discovery last listed them."""
         return [endpoint.server for endpoint in self._endpoints.values()]
--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -22,6 +22,7 @@
 from gingerworks.gateway.arrival_times import ArrivalTracker
 from gingerworks.gateway.backend import Answer
 from gingerworks.gateway.connection_owner import ConnectionOwner
+from gingerworks.gateway.diagnostics import Event
 from gingerworks.gateway.requests import MAX_BODY_BYTES, MAX_HEAD_BYTES, Message, RequestRejected
 from gingerworks.gateway.system_errors import RETRYABLE_ERRORS
 
@@ -44,6 +45,7 @@
 # After a rejection the connection stays half open for this long, so that a client that is still sending can
 # read why its request was rejected.
 LINGER_S = 0.3
+MAX_LOGGED_ID_BYTES = 128  # of a longer correlation id, only so much is logged
 RETRY_AFTER_OVERLOAD = b"Retry-After: 0.100\r\n"  # the header field sent when a request is rejected with 503
 
 REASON_PHRASES = {
@@ -249,6 +251,7 @@
                 # behind this one are answered first.
                 self._stop_reading()
                 self.keep_alive = bool(self.pending)
+                self._record_rejection(message, rejection)
                 self._write_answer(
                     rejection.status,
                     str(rejection).encode(),
@@ -270,6 +273,13 @@
         ):
             self._resume()
 
+    def _record_rejection(self, message: Message | RequestRejected, rejection: RequestRejected) -> None:
+        identity = ""
+        if isinstance(message, Message):
+            identity = f"id {message.correlation_id[:MAX_LOGGED_ID_BYTES]!r}"
+        reason = f"{rejection.status} {rejection}"
+        self.owner.diagnostics.record(Event.REQUEST_REJECTED, reason, identity)
+
     def send_answer(self, answer: Answer) -> None:
         """Final answer served: forward a server's answer."""
         self._finish_request(200, answer.body, b"".join(b"%b: %b\r\n" % header for header in answer.headers))
@@ -389,6 +399,7 @@
             return
         if self.closing or transport.is_closing() or self.has_unsent_output():
             if waited_ns >= ANSWER_READ_TIMEOUT_NS:
+                self.owner.diagnostics.record(Event.CLIENT_TIMED_OUT, "it does not read its answer")
                 transport.abort()
         elif self.receiving:
             if waited_ns >= REQUEST_TIMEOUT_NS:
@@ -398,6 +409,7 @@
             waited_ns >= (IDLE_TIMEOUT_NS if self.has_requested else REQUEST_TIMEOUT_NS)
             and not self.has_unread_input()
         ):
+            self.owner.diagnostics.record(Event.CLIENT_TIMED_OUT, "it sends no request")
             transport.close()
 
     def reject_incomplete(self) -> None:
--- a/gingerworks/gateway/client_table.py
+++ b/gingerworks/gateway/client_table.py
@@ -12,6 +12,7 @@
 
 from gingerworks.gateway import clock
 from gingerworks.gateway.client import ClientConnection
+from gingerworks.gateway.diagnostics import Diagnostics, Event
 
 EVICTIONS_PER_ROUND = 8  # the most connections that one call of ``make_room`` closes
 # Before it may be evicted, a new client has this long to send its request, and a client to which the last
@@ -22,8 +23,9 @@
 class ClientTable:
     """All open client connections, at most ``budget``; each state lists those first that entered it first."""
 
-    def __init__(self, budget: int) -> None:
+    def __init__(self, budget: int, diagnostics: Diagnostics) -> None:
         self.budget = budget
+        self.diagnostics = diagnostics
         self.open: set[ClientConnection] = set()
         self.new: dict[ClientConnection, None] = {}  # connections on which no request was handled yet
         self.idle: dict[ClientConnection, None] = {}  # connections between requests
@@ -88,24 +90,26 @@
             return  # the end of connections evicted before will make room
         # A connection's time of grace is over if it has been in its state since this moment or longer.
         latest_evictable_since_ns = clock.now() - EVICTION_GRACE_NS
-        if self._evict(
-            client for client in self.closing if client.state_since_ns <= latest_evictable_since_ns
-        ):
+        closing = (client for client in self.closing if client.state_since_ns <= latest_evictable_since_ns)
+        if self._evict(closing, "its last answer is written"):
             return
         silent = [client for client in self.new if not client.receiving]
-        if self._evict(client for client in silent if client.state_since_ns <= latest_evictable_since_ns):
+        silent_long = (client for client in silent if client.state_since_ns <= latest_evictable_since_ns)
+        if self._evict(silent_long, "it has sent nothing"):
             return
-        if 2 * len(silent) > self.budget or self._evict(client for client in self.idle if client.is_idle()):
+        idle = (client for client in self.idle if client.is_idle())
+        if 2 * len(silent) > self.budget or self._evict(idle, "it is between requests"):
             return
-        self._evict(
+        incomplete = (
             client
             for client in [*self.new, *self.idle]
             if client.receiving
             and not client.has_unsent_output()
             and client.state_since_ns <= latest_evictable_since_ns
         )
+        self._evict(incomplete, "its request is incomplete")
 
-    def _evict(self, candidates: Iterable[ClientConnection]) -> bool:
+    def _evict(self, candidates: Iterable[ClientConnection], reason: str) -> bool:
         """Close up to ``EVICTIONS_PER_ROUND`` of the candidates; returns whether any was closed.
 
         Those with unread input are spared, as it may be a request.  So are those without a transport yet:
@@ -117,6 +121,7 @@
         for client in chosen:
             self._remove_from_states(client)
             self.evicted.add(client)
+            self.diagnostics.record(Event.CLIENT_EVICTED, reason)
             assert client.transport is not None
             client.transport.abort()
         return bool(chosen)
--- a/gingerworks/gateway/config.py
+++ b/gingerworks/gateway/config.py
@@ -15,6 +15,7 @@
 
 Address = tuple[str, int]
 
+BYTES_PER_MB = 1 << 20
 DEFAULT_SOCKETS = 1024  # the limit on the process's open connections, if the file sets none
 
 
@@ -32,6 +33,7 @@
     counter: Address | None
     seed: int
     sockets: int
+    memory_limit_bytes: int | None  # the process is killed beyond this; None if the file names no limit
     known: object
     idle_timeout_ns: int  # servers close idle connections after this long at the latest
     settings: interface.Settings
@@ -84,7 +86,8 @@
     if settings.has_counter and not raw.get("counter"):
         raise ConfigError("counter is missing")
     limits = raw.get("limits")
-    sockets = limits.get("sockets", DEFAULT_SOCKETS) if isinstance(limits, dict) else DEFAULT_SOCKETS
+    limits = limits if isinstance(limits, dict) else {}
+    sockets = limits.get("sockets", DEFAULT_SOCKETS)
     if not isinstance(sockets, int) or sockets < 64:
         raise ConfigError(
             f"limits.sockets: '{str(sockets)[: wire.MAX_SHOWN_CHARS]}' is not a whole number of at least 64"
@@ -102,12 +105,23 @@
         counter=address_from(raw["counter"], "counter") if raw.get("counter") else None,
         seed=seed,
         sockets=sockets,
+        memory_limit_bytes=_memory_limit_bytes(limits.get("memory_mb")),
         known=raw.get("known"),
         idle_timeout_ns=idle_timeout_ns,
         settings=settings,
     )
 
 
+def _memory_limit_bytes(memory_mb: object) -> int | None:
+    if memory_mb is None:
+        return None
+    if isinstance(memory_mb, bool) or not isinstance(memory_mb, (int, float)) or not 0 < memory_mb < 1 << 30:
+        raise ConfigError(
+            f"limits.memory_mb: '{str(memory_mb)[: wire.MAX_SHOWN_CHARS]}' is not a number of megabytes"
+        )
+    return int(memory_mb * BYTES_PER_MB)
+
+
 def flatten(value: object, path: str = "") -> Iterator[tuple[str, str]]:
     """The paths and values of nested JSON, in the form of the simulator's start message."""
     if isinstance(value, dict):
--- a/gingerworks/gateway/connection_owner.py
+++ b/gingerworks/gateway/connection_owner.py
@@ -8,6 +8,7 @@
 import asyncio
 from typing import Protocol, TypeVar
 
+from gingerworks.gateway.diagnostics import Diagnostics
 from gingerworks.gateway.requests import Message
 
 Connection = TypeVar("Connection", contravariant=True)
@@ -20,6 +21,10 @@
     def loop(self) -> asyncio.AbstractEventLoop:
         """The event loop of all connections."""
 
+    @property
+    def diagnostics(self) -> Diagnostics:
+        """Where a connection records why it rejects a request or ends."""
+
     @property
     def read_buffer(self) -> memoryview:
         """The buffer for a connection's next read; shared by all, so each read is parsed at once."""
--- a/gingerworks/gateway/frontend.py
+++ b/gingerworks/gateway/frontend.py
@@ -22,6 +22,7 @@
 from gingerworks.gateway.client import ClientConnection
 from gingerworks.gateway.client_table import ClientTable
 from gingerworks.gateway.config import Address
+from gingerworks.gateway.diagnostics import Diagnostics
 from gingerworks.gateway.requests import Message, RequestRejected, RequestValidator
 from gingerworks.gateway.runtime import Runtime
 from gingerworks.gateway.shutdown import GracefulShutdown, ShutdownPhase
@@ -44,9 +45,15 @@
     """The listening socket and the client connections; see the module's description."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, runtime: Runtime, settings: interface.Settings, budget: int
+        self,
+        loop: asyncio.AbstractEventLoop,
+        runtime: Runtime,
+        settings: interface.Settings,
+        budget: int,
+        diagnostics: Diagnostics,
     ) -> None:
         """At most ``budget`` client connections are open at once; further ones wait in the backlog."""
+        self.diagnostics = diagnostics
         self.loop = loop
         self.runtime = runtime
         self.finished = asyncio.Event()
@@ -54,7 +61,7 @@
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self._validator = RequestValidator(settings)
         self._held_body_bytes = 0
-        self.clients = ClientTable(budget)
+        self.clients = ClientTable(budget, diagnostics)
         self._timeout_check: asyncio.TimerHandle | None = None  # set while a connection is open
         self._attaching: set[asyncio.Task[Any]] = set()  # keeps these tasks from garbage collection
         self._listener: socket.socket | None = None
@@ -220,7 +227,12 @@
             return None
         request = self._validator.validate(message)
         return self.runtime.submit(
-            client, request, message.forwarded_head(), message.body, message.arrived_at_ns
+            client,
+            request,
+            message.correlation_id,
+            message.forwarded_head(),
+            message.body,
+            message.arrived_at_ns,
         )
 
     def request_cancelled(self, request_id: int) -> None:
@@ -234,6 +246,10 @@
         self._held_body_bytes += size
         return True
 
+    def gauges(self) -> dict[str, int]:
+        """What is in use now, for the log."""
+        return {"clients": len(self.clients.open), "bytes of bodies": self._held_body_bytes}
+
     @property
     def shutting_down(self) -> bool:
         """Whether the graceful shutdown has begun."""
@@ -245,6 +261,11 @@
             return
         now = clock.now()
         schedule = self._shutdown.start(now)
+        log.info(
+            "shutdown: begun; %s, exit in %.1f s at the latest",
+            ", ".join(f"{name} {value}" for name, value in self.gauges().items()),
+            (schedule.exit_due_ns - now) / clock.NS_PER_S,
+        )
         self.runtime.begin_shutdown(schedule.answers_due_ns)
         # Accepting may still wait for the first server list; the backlog has to be served without it now.
         self._watch_listener()
--- a/gingerworks/gateway/requests.py
+++ b/gingerworks/gateway/requests.py
@@ -85,6 +85,11 @@
         ):
             raise RequestRejected(413, "the body is too large")
 
+    @property
+    def correlation_id(self) -> bytes:
+        """The value of ``X-Correlation-Id``, or nothing if there is none."""
+        return next((value for name, value in self.headers if name.lower() == b"x-correlation-id"), b"")
+
     def has_body(self) -> bool:
         """Whether the head announces a body."""
         headers = dict(self.lowercase_headers())
--- a/gingerworks/gateway/runtime.py
+++ b/gingerworks/gateway/runtime.py
@@ -22,6 +22,7 @@
 from gingerworks.gateway.backend import Answer, Attempt, Backends
 from gingerworks.gateway.config import Address, Config
 from gingerworks.gateway.counter import CounterClient
+from gingerworks.gateway.diagnostics import Diagnostics, Event
 from gingerworks.gateway.discovery import Change
 from gingerworks.gateway.server_starts import ServerStarts
 from gingerworks.policy import Policy
@@ -63,6 +64,7 @@
         "awaits_answer",
         "body",
         "client",
+        "correlation_id",
         "deadline_ns",
         "head",
         "may_have_run",
@@ -71,10 +73,17 @@
     )
 
     def __init__(
-        self, client: Client, request: interface.Request, head: bytes, body: bytes, deadline_ns: int
+        self,
+        client: Client,
+        request: interface.Request,
+        correlation_id: bytes,
+        head: bytes,
+        body: bytes,
+        deadline_ns: int,
     ) -> None:
         """``head`` is the head of the request without ``X-Time-Left`` and the final empty line."""
         self.client = client
+        self.correlation_id = correlation_id
         self.request = request
         self.head = head
         self.body = body
@@ -84,6 +93,11 @@
         self.may_have_run = False  # whether an attempt of this request may have run on a server
         self.deadline_ns = deadline_ns  # the moment of the client's deadline, or the shutdown's if sooner
 
+    @property
+    def identity(self) -> str:
+        """The request's correlation id and class, for the log."""
+        return f"id {self.correlation_id.decode('ascii', 'replace')}, {self.request.class_name}"
+
     def remaining_ns(self) -> int:
         """The time until the deadline."""
         return self.deadline_ns - clock.now()
@@ -108,8 +122,15 @@
 class Runtime:
     """Passes events to the policy, carries out its actions and keeps the requests in flight."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, backends: Backends) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        config: Config,
+        backends: Backends,
+        diagnostics: Diagnostics,
+    ) -> None:
         self._loop = loop
+        self._diagnostics = diagnostics
         self._config = config
         self._backends = backends
         self._server_start_times = ServerStarts()
@@ -148,6 +169,10 @@
             )
             self.counter.connect()
 
+    def gauges(self) -> dict[str, int]:
+        """What is in use now, for the log."""
+        return {"requests": len(self._in_flight), "customers": len(self._policy.quotas.customers)}
+
     def close(self) -> None:
         """Close the connection to the counter."""
         if self.counter is not None:
@@ -157,6 +182,7 @@
         self,
         client: Client,
         request: interface.Request,
+        correlation_id: bytes,
         head: bytes,
         body: bytes,
         arrived_at_ns: int | None = None,
@@ -175,7 +201,9 @@
         )
         if self._answers_due_ns is not None:
             deadline_ns = min(deadline_ns, self._answers_due_ns)
-        self._in_flight[request_id] = InFlightRequest(client, request, head, body, deadline_ns)
+        self._in_flight[request_id] = InFlightRequest(
+            client, request, correlation_id, head, body, deadline_ns
+        )
         self._post(RequestSubmitted(request_id))
         return request_id
 
@@ -193,6 +221,8 @@
             inflight.awaits_answer = False
             self._ended_requests.append(request_id)
             self._post(interface.RequestCancelled(request_id))
+            attempted = "after an attempt" if inflight.attempts else "before any attempt"
+            self._diagnostics.record(Event.REQUEST_CANCELLED, attempted, inflight.identity)
 
     def update_servers(self, change: Change, cached: bool = False) -> None:
         """Apply a server list or a change of it, from discovery or (if ``cached``) the configuration."""
@@ -270,6 +300,7 @@
             if inflight.awaits_answer:
                 inflight.awaits_answer = False
                 inflight.client.send_failure()
+                self._diagnostics.record(Event.REQUEST_FAILED, "the policy was restarted", inflight.identity)
         self._in_flight.clear()
         self._pending_events.clear()
         self._ended_requests.clear()
@@ -284,6 +315,7 @@
             inflight.awaits_answer = False
             inflight.client.send_failure()
             self._post(interface.RequestCancelled(request_id))
+            self._diagnostics.record(Event.REQUEST_FAILED, "an unexpected error", inflight.identity)
         # An attempt that could not be started must not count as one in flight, here or in the policy.
         for attempt_number, attempt in enumerate(inflight.attempts):
             if attempt is not None:
@@ -298,6 +330,10 @@
         if inflight is None:
             return None  # the request failed after an error, and the policy knows that it is cancelled
         attempt_number = len(inflight.attempts)
+        if attempt_number:
+            in_flight = "while one is in flight" if inflight.open_attempts else "after one has ended"
+            identity = f"{inflight.identity}, attempt {attempt_number} at {action.server}"
+            self._diagnostics.record(Event.ATTEMPT_REPEATED, in_flight, identity)
 
         def may_start() -> bool:
             return self._may_start(action.id, inflight)
@@ -335,6 +371,8 @@
         else:
             max_retry_after_ns = limits.max_retry_after_ns if limits.may_send_retry_after else 0
             inflight.client.send_refusal(min(UNSENT_RETRY_AFTER_NS, max_retry_after_ns), False)
+        ended = Event.REQUEST_FAILED if inflight.may_have_run else Event.REQUEST_REFUSED
+        self._diagnostics.record(ended, "its client's close may be hidden behind input", inflight.identity)
         self.cancel_request(request_id)
 
     def _attempt_ended(
@@ -385,6 +423,7 @@
         if inflight is not None and inflight.awaits_answer:
             inflight.awaits_answer = False
             inflight.client.send_refusal(action.retry_after_ns, bool(inflight.attempts))
+            self._diagnostics.record(Event.REQUEST_REFUSED, action.reason.value, inflight.identity)
             self._finish_unanswered(action.id, inflight)
 
     def _fail_request(self, action: interface.Fail) -> None:
@@ -392,6 +431,7 @@
         if inflight is not None and inflight.awaits_answer:
             inflight.awaits_answer = False
             inflight.client.send_failure()
+            self._diagnostics.record(Event.REQUEST_FAILED, "no answer in time", inflight.identity)
             self._finish_unanswered(action.id, inflight)
 
     def _finish_unanswered(self, request_id: int, inflight: InFlightRequest) -> None:
--- a/gingerworks/interface.py
+++ b/gingerworks/interface.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 
@@ -345,12 +345,26 @@
     attempt: int
 
 
+class DeclineReason(Enum):
+    """Why a request is refused; the values are the words of the log."""
+
+    UNSPECIFIED = "no reason given"
+    NO_TIME_LEFT = "no time left"
+    SHUTDOWN = "the shutdown leaves too little time"
+    QUOTA = "beyond the quota"
+    CEILING = "beyond the ceiling"
+    LOAD = "the servers are overloaded"
+    NO_SERVER = "no server can take it"
+    NOT_SERVED = "no attempt was served, and none may have run"
+
+
 @dataclass(frozen=True, slots=True)
 class Decline:
-    """Final answer: refused.  It is safe for the client to try again."""
+    """Final answer: refused.  It is safe for the client to try again.  ``reason`` is for logs only."""
 
     id: int
     retry_after_ns: int
+    reason: DeclineReason = field(default=DeclineReason.UNSPECIFIED, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/gingerworks/policy/driver.py
+++ b/gingerworks/policy/driver.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable, Iterable
 
 from gingerworks import interface
+from gingerworks.interface import DeclineReason
 from gingerworks.policy.clock_sync import ClockSync
 from gingerworks.policy.constants import OVERDUE_MEANS, SECOND, SWEEP_PERIOD_NS
 from gingerworks.policy.customer import Customer
@@ -147,20 +148,22 @@
     def handle_request(self, request: interface.Request) -> None:
         """Admit a new request, hold it for a reading of the shared count, or refuse it."""
         inflight = self._register(request)
-        if request.ttl_ns <= 0 or self._shutdown_cuts_short(inflight):
-            return self.decline(inflight, 0)
+        if request.ttl_ns <= 0:
+            return self.decline(inflight, 0, DeclineReason.NO_TIME_LEFT)
+        if self._shutdown_cuts_short(inflight):
+            return self.decline(inflight, 0, DeclineReason.SHUTDOWN)
         customer, plan, units = inflight.customer, inflight.customer.plan, request.units
         self._start_clock_sync(plan)
         in_quota = self.quotas.check_quota(inflight, self.now)
         if in_quota is False and plan.excess_worth <= plan.overrun_cost:
-            return self.decline(inflight, customer.refill_wait_ns(units))
+            return self.decline(inflight, customer.refill_wait_ns(units), DeclineReason.QUOTA)
         if in_quota is not None and not customer.ceiling_part_covers(units):
             # Beyond its part of a ceiling (hard limit), a gateway needs a reading, even from a late counter.
             if not in_quota or not self.quotas.should_read(inflight, Headroom.BEYOND_PART, self.now):
-                return self.decline(inflight, 0)
+                return self.decline(inflight, 0, DeclineReason.CEILING)
             in_quota = None
         if self._sheds(inflight):
-            return self.decline(inflight, self.settings.limits.max_retry_after_ns)
+            return self.decline(inflight, self.settings.limits.max_retry_after_ns, DeclineReason.LOAD)
         self._schedule_end(inflight)
         if in_quota is None:
             customer.waiting_requests.append(inflight)
@@ -198,7 +201,7 @@
         backend = self.choose_backend(inflight)
         booked = booked and customer.may_use_ceiling_reserve
         if backend is None or not (booked or customer.ceiling_part_covers(units)):
-            self.decline(inflight, 0)
+            self.decline(inflight, 0, DeclineReason.NO_SERVER if backend is None else DeclineReason.CEILING)
             return False
         customer.allowance.adjust(-charge)
         if customer.ceiling_allowance is not None:
@@ -243,7 +246,7 @@
             admits = covered and (customer.may_use_ceiling_reserve or customer.ceiling_part_covers(units))
             self.quotas.learn(inflight, admits)
         if not covered:
-            self.decline(inflight, customer.refill_wait_ns(units))
+            self.decline(inflight, customer.refill_wait_ns(units), DeclineReason.QUOTA)
         elif not self.admit(inflight, units, customer.counter_answered):
             # Otherwise the shared count would keep the units booked for a request that is refused after all.
             customer.undo_booking(units)
@@ -417,15 +420,16 @@
         if inflight.closed or inflight.streaming:
             return
         if inflight.may_decline():
-            self.decline(inflight, 0)
+            self.decline(inflight, 0, DeclineReason.NOT_SERVED)
         else:
             self.actions.append(interface.Fail(inflight.request.id))
             self.close(inflight)
 
-    def decline(self, inflight: InFlightRequest[Customer], wait_ns: int) -> None:
+    def decline(self, inflight: InFlightRequest[Customer], wait_ns: int, reason: DeclineReason) -> None:
         """Refuse a request; the client may try again after ``wait_ns``, which is 0 if that is not known."""
         max_ns = self.settings.limits.max_retry_after_ns if self.settings.limits.may_send_retry_after else 0
-        self.actions.append(interface.Decline(inflight.request.id, min(wait_ns or DEFAULT_WAIT_NS, max_ns)))
+        retry_after_ns = min(wait_ns or DEFAULT_WAIT_NS, max_ns)
+        self.actions.append(interface.Decline(inflight.request.id, retry_after_ns, reason))
         self.close(inflight)
 
     def close(self, inflight: InFlightRequest[Customer] | None) -> None:
