--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -6,6 +6,7 @@
 import json
 import os
 import re
+import resource
 import socket
 import subprocess
 import sys
@@ -274,6 +275,17 @@
         """The number of its open file descriptors."""
         return len(os.listdir(f"/proc/{self.pid}/fd"))
 
+    def peak_memory_bytes(self) -> int:
+        """The most memory that it has had resident at any time."""
+        status = Path(f"/proc/{self.pid}/status").read_text()
+        match = re.search(r"VmHWM:\s+(\d+) kB", status)
+        assert match is not None, "the system does not tell the peak"
+        return int(match[1]) * 1024
+
+    def limit_descriptors(self, number: int) -> None:
+        """Let it open at most this many descriptors."""
+        resource.prlimit(self.pid, resource.RLIMIT_NOFILE, (number, number))
+
     def processor_s(self) -> float:
         """The processor time that it has used."""
         fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
