Bound what is kept of customers by the memory limit, and let go of ended requests at once

Cause: up to 20,000 customers of 2.7 KB were kept whatever the limit, and timers kept each request until its deadline. The table's bound now follows from the memory limit (20,000 still where there is room), a customer takes 1.2 KB (__slots__), timers of an ended request are cancelled (timer_queue.py), and the customer without a request for the longest time is forgotten, not the one that came first. A forgotten customer that comes back could fill its part of a ceiling anew: its part now counts from the last request of any forgotten customer, and its use is reported as it is forgotten. Without that line the test admits 3,200 units where the ceiling allows 906.

--- a/gingerworks/gateway/__main__.py
+++ b/gingerworks/gateway/__main__.py
@@ -50,8 +50,8 @@
         server_sockets = config.sockets - RESERVED_SOCKETS - client_sockets
         self.backends = Backends(loop, config.settings, config.idle_timeout_ns, server_sockets)
         self.diagnostics = Diagnostics(loop, config.memory_limit_bytes, self._gauges)
-        self.runtime = Runtime(loop, config, self.backends, self.diagnostics)
         self.memory = MemoryBudget.within(config.memory_limit_bytes, resident_memory_bytes())
+        self.runtime = Runtime(loop, config, self.backends, self.memory.customers, self.diagnostics)
         self.frontend = Frontend(
             loop, self.runtime, config.settings, client_sockets, self.memory, self.diagnostics
         )
--- a/gingerworks/gateway/runtime.py
+++ b/gingerworks/gateway/runtime.py
@@ -127,14 +127,17 @@
         loop: asyncio.AbstractEventLoop,
         config: Config,
         backends: Backends,
+        max_customers: int,
         diagnostics: Diagnostics,
     ) -> None:
+        """The policy remembers at most ``max_customers`` customers."""
         self._loop = loop
         self._diagnostics = diagnostics
         self._config = config
         self._backends = backends
         self._server_start_times = ServerStarts()
-        self._policy = Policy(config.seed, config.settings, clock.now())
+        self._max_customers = max_customers
+        self._policy = Policy(config.seed, config.settings, clock.now(), max_customers)
         self._rng = random.Random(config.seed)
         self._classes = {kind.name: kind for kind in config.settings.classes}
         self._in_flight: dict[int, InFlightRequest] = {}
@@ -304,7 +307,9 @@
         self._in_flight.clear()
         self._pending_events.clear()
         self._ended_requests.clear()
-        self._policy = Policy(self._rng.getrandbits(64), self._config.settings, clock.now())
+        self._policy = Policy(
+            self._rng.getrandbits(64), self._config.settings, clock.now(), self._max_customers
+        )
         self._post(interface.ServersChanged(interface.ListMode.CACHED, tuple(self._backends.servers())))
         if self._answers_due_ns is not None:
             self._post(interface.ShutdownStarted(self._answers_due_ns))
--- a/gingerworks/policy/customer.py
+++ b/gingerworks/policy/customer.py
@@ -37,6 +37,7 @@
     Headroom,
     headroom_of,
 )
+from gingerworks.policy.timer_queue import ScheduledCallback
 
 # A shared count is corrected if it shows more refill beyond a full store, a surplus, than this fraction of
 # the burst.
@@ -70,12 +71,14 @@
 class CustomerContext(Protocol):
     """What a customer needs to know of its gateway; ``quotas.Quotas`` provides it.
 
-    ``started_ns`` is the time at which the gateway started.
+    ``started_ns`` is the time at which the gateway started, ``forgotten_until_ns`` the time of the last
+    request of any customer that it had to forget since.
     """
 
     settings: interface.Settings
     rng: random.Random
     started_ns: int
+    forgotten_until_ns: int
     clock: ClockSync
     plans: dict[str, interface.Plan]
 
@@ -83,6 +86,17 @@
 class Customer:
     """One customer's allowances at this gateway, and what is known of its shared count."""
 
+    __slots__ = (
+        "admit_fraction", "allowance", "ceiling_allowance", "ceiling_even_rate", "clock",
+        "correction_settle_ns", "count_corrected_at_ns", "count_correction_due", "counter_answered",
+        "deficit", "deficit_before_correction", "demand", "demand_at_ns", "epoch_offset_ns",
+        "even_burst", "even_rate", "exhausted", "forgotten", "key", "last_request_at_ns",
+        "may_use_ceiling_reserve", "others_rate", "overuse_since_ns", "own_deficit",
+        "own_deficit_at_ns", "pending_call", "plan", "read_at_ns", "refilled_at_ns",
+        "report_callback", "report_scheduled", "reserved_units", "share_allowance",
+        "tolerated_surplus", "unreported", "waiting_requests",
+    )  # fmt: skip
+
     def __init__(self, request: interface.Request, context: CustomerContext, now: int) -> None:
         gateways, settings = max(1, request.entries), context.settings
         self.clock = context.clock
@@ -128,11 +142,13 @@
         self.may_use_ceiling_reserve = False  # as the last reading of the shared count decided
         self.ceiling_even_rate = rate / gateways
         if plan.ceiling_rate > 0:
-            # The part starts empty: what this gateway admitted before a restart is not known.
+            # The part starts empty at that time: what this gateway admitted before a restart is not known,
+            # nor what it admitted for a customer that it has forgotten.
+            known_since_ns = max(context.started_ns, context.forgotten_until_ns)
             self.ceiling_allowance = GapCounter(
                 (burst + CEILING_SLACK_USED_FRACTION * plan.ceiling_slack) / gateways, 0.0, 0.0
             )
-            self.ceiling_allowance.refill(self.ceiling_even_rate * (now - context.started_ns) / SECOND)
+            self.ceiling_allowance.refill(self.ceiling_even_rate * (now - known_since_ns) / SECOND)
         self.even_rate = plan.rate / gateways
         # This gateway's share of the quota, which readings do not replace: for requests that no reading is
         # taken for.  A share that is smaller than a request is saved up until it covers one.
@@ -156,6 +172,8 @@
         self.refilled_at_ns = self.read_at_ns = self.last_request_at_ns = now
         # The quota counts as exhausted if the store did not cover the last request with a reading.
         self.report_scheduled = self.exhausted = False
+        self.report_callback: ScheduledCallback | None = None  # the report that is scheduled
+        self.forgotten = False  # dropped from the table of customers; only its last report is still sent
         self.counter_answered = True  # whether the counter answered this customer's last call
         # Requests that the next call takes a reading for.
         self.waiting_requests: list[InFlightRequest[Customer]] = []
@@ -362,6 +380,11 @@
     units.
     """
 
+    __slots__ = (
+        "amount", "clock_agreed", "clock_steps_at_start", "correction", "count_began_ns",
+        "customer", "deficit_before_correction", "held_requests", "reported",
+    )  # fmt: skip
+
     def __init__(
         self, customer: Customer, count_began_ns: int, correction: float, agreed: bool = True
     ) -> None:
--- a/gingerworks/policy/driver.py
+++ b/gingerworks/policy/driver.py
@@ -8,12 +8,10 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections.abc import Callable, Iterable
 
 from gingerworks import interface
-from gingerworks.interface import DeclineReason
 from gingerworks.policy.clock_sync import ClockSync
 from gingerworks.policy.constants import OVERDUE_MEANS, SECOND, SWEEP_PERIOD_NS
 from gingerworks.policy.customer import Customer
@@ -23,8 +21,10 @@
 from gingerworks.policy.quotas import Quotas
 from gingerworks.policy.servers import Backend, Servers
 from gingerworks.policy.speculative_admission import Headroom
+from gingerworks.policy.state_log import KEEPS_UP_FRACTION, StateLog
+from gingerworks.policy.timer_queue import ScheduledCallback, TimerQueue
 
-KEEPS_UP_FRACTION = 0.5  # the counter keeps up if readings are taken for this fraction of uncertain requests
+DeclineReason = interface.DeclineReason
 RETRY_SHARE = 0.1  # each admitted request allows so many retries and hedges more: bounds retry storms
 RETRY_BURST = 10.0  # so many retries and hedges may be saved up: a failure among few requests is retried
 OVERDUE_AIM_FRACTION = 0.35  # an answer is overdue after this fraction of its request's aim at the earliest
@@ -34,21 +34,23 @@
 class Policy:
     """All decisions of one gateway: the same seed, settings, times and events give the same actions."""
 
-    def __init__(self, seed: int, settings: interface.Settings, now: int) -> None:
+    def __init__(
+        self, seed: int, settings: interface.Settings, now: int, max_customers: int | None = None
+    ) -> None:
+        """Remembers at most ``max_customers`` customers, or as many as ``quotas`` does without a limit."""
         self.settings = settings
         self.rng = random.Random(seed)
         self.request_classes = {request_class.name: request_class for request_class in settings.classes}
         # The clock has its own generator, so that its random draws do not change those of other decisions.
         clock = ClockSync(settings.gateways, random.Random(f"{seed} clock"))
-        self.quotas = Quotas(settings, self.rng, now, clock)
+        self.quotas = Quotas(settings, self.rng, now, clock, max_customers)
         self.servers = Servers(settings, self.rng, now)
         self.shedder = LoadShedder(settings, now)
         self.retry_budget = GapCounter(RETRY_BURST, RETRY_BURST, 0.0)
         self.in_flight: dict[int, InFlightRequest[Customer]] = {}
         self.deferred_calls: dict[str, Customer] = {}  # held back in the first clock sync, by customer key
-        self.scheduled: list[tuple[int, int, Callable[[], None]]] = []  # heap by time, then order of adding
-        self.reported_states: set[str] = set()  # states logged as begun and not yet as ended
-        self.scheduled_count = 0
+        self.scheduled = TimerQueue()
+        self.state_log = StateLog()
         self.timer_due_at_ns: int | None = None
         self.shutdown_deadline_ns: int | None = None
         self.now = now
@@ -64,8 +66,8 @@
         self.now, self.actions = now, []
         for event in events:
             self.handle_event(event)
-        while self.scheduled and self.scheduled[0][0] <= now:
-            heapq.heappop(self.scheduled)[2]()
+        while (callback := self.scheduled.take_due(now)) is not None:
+            callback()
         self.set_timer()
         return self.actions
 
@@ -91,37 +93,24 @@
                 if inflight := self.in_flight.get(event.id):
                     inflight.streaming = True  # a stream has no deadline and gets no further attempt
 
-    def schedule(self, at_ns: int, callback: Callable[[], None]) -> None:
+    def schedule(self, at_ns: int, callback: Callable[[], None]) -> ScheduledCallback:
         """Call back at this time; callbacks for the same time run in the order of these calls."""
-        self.scheduled_count += 1
-        heapq.heappush(self.scheduled, (at_ns, self.scheduled_count, callback))
+        return self.scheduled.add(at_ns, callback)
 
     def set_timer(self) -> None:
         """Request a timer for the earliest callback, unless one is set that is due no later."""
         if self.timer_due_at_ns is not None and self.timer_due_at_ns <= self.now:
             self.timer_due_at_ns = None
-        if self.scheduled and (self.timer_due_at_ns is None or self.scheduled[0][0] < self.timer_due_at_ns):
-            self.timer_due_at_ns = self.scheduled[0][0]
-            self.actions.append(interface.Wake(max(1, self.timer_due_at_ns - self.now), 0))
+        due_at_ns = self.scheduled.next_due_ns()
+        if due_at_ns is not None and (self.timer_due_at_ns is None or due_at_ns < self.timer_due_at_ns):
+            self.timer_due_at_ns = due_at_ns
+            self.actions.append(interface.Wake(max(1, due_at_ns - self.now), 0))
 
     def sweep(self) -> None:
         """Forget idle customers and log state changes, every ``SWEEP_PERIOD_NS``."""
         self.quotas.sweep(self.now)
         self.schedule(self.now + SWEEP_PERIOD_NS, self.sweep)
-        self._log_changes()
-
-    def _log_changes(self) -> None:
-        """Log each state worth an operator's notice that has begun or ended since the last call."""
-        phases = [b.entry.phase for b in self.servers.backends.values()]
-        states = {
-            "no server is ready; refusing all requests": interface.Phase.READY not in phases,
-            "counter is late or silent; calling it less often": self.quotas.read_fraction < KEEPS_UP_FRACTION,
-            "servers are overloaded; refusing the least worth": self.shedder.load_ratio(self.now) > 1.2,
-        }
-        for text, holds in states.items():
-            if holds != (text in self.reported_states):
-                self.reported_states ^= {text}
-                self.actions.append(interface.Log(text if holds else f"ended: {text}"))
+        self.actions += self.state_log.changes(self.servers, self.quotas, self.shedder, self.now)
 
     def begin_shutdown(self, answers_due_ns: int) -> None:
         """Apply the shutdown's deadline to all requests in flight and to new ones."""
@@ -134,7 +123,7 @@
     def _schedule_end(self, inflight: InFlightRequest[Customer]) -> None:
         """Schedule the end of a request that has no answer a timer tick before its deadline."""
         end_at_ns = max(self.now, inflight.deadline_ns - self.settings.tick_ns)
-        self.schedule(end_at_ns, lambda: self.end_unserved(inflight))
+        inflight.callbacks.append(self.schedule(end_at_ns, lambda: self.end_unserved(inflight)))
 
     def _shutdown_cuts_short(self, inflight: InFlightRequest[Customer]) -> bool:
         """Whether the shutdown leaves a request less time than its aim.
@@ -180,15 +169,22 @@
             raise ValueError(f"request {request.id} was already given")
         if request.class_name not in self.request_classes or request.plan not in self.quotas.plans:
             raise ValueError(f"request {request.id}: unknown class or plan")
-        request_class, customer = (
-            self.request_classes[request.class_name],
-            self.quotas.customer(request, self.now),
-        )
+        request_class = self.request_classes[request.class_name]
+        customer = self.quotas.customer(request, self.now)
+        self._report_forgotten_customers()
         inflight = self.in_flight[request.id] = InFlightRequest(request, request_class, customer, self.now)
         if self.shutdown_deadline_ns is not None:
             inflight.deadline_ns = min(inflight.deadline_ns, self.shutdown_deadline_ns)
         return inflight
 
+    def _report_forgotten_customers(self) -> None:
+        """Report what customers that had to be forgotten have used, as far as the counter takes calls now."""
+        for customer in self.quotas.take_forgotten():
+            if customer.report_callback is not None:
+                customer.report_callback.cancel()
+            if not self.quotas.clock.defers_customer_calls(self.now):
+                self._call_counter(customer)
+
     def _sheds(self, inflight: InFlightRequest[Customer]) -> bool:
         """Whether load shedding refuses this request."""
         request_class, plan, units = inflight.request_class, inflight.customer.plan, inflight.request.units
@@ -201,7 +197,11 @@
         backend = self.choose_backend(inflight)
         booked = booked and customer.may_use_ceiling_reserve
         if backend is None or not (booked or customer.ceiling_part_covers(units)):
-            self.decline(inflight, 0, DeclineReason.NO_SERVER if backend is None else DeclineReason.CEILING)
+            self.decline(
+                inflight,
+                0,
+                DeclineReason.NO_SERVER if backend is None else DeclineReason.CEILING,
+            )
             return False
         customer.allowance.adjust(-charge)
         if customer.ceiling_allowance is not None:
@@ -255,7 +255,7 @@
         """Schedule the call that reports this customer's use to the shared counter."""
         report_at_ns = self.quotas.schedule_report(customer, self.now)
         if report_at_ns is not None:
-            self.schedule(report_at_ns, lambda: self._call_counter(customer))
+            customer.report_callback = self.schedule(report_at_ns, lambda: self._call_counter(customer))
 
     def _call_counter(self, customer: Customer) -> None:
         """Call the counter for this customer, unless the clock synchronisation defers or suspends calls."""
@@ -328,7 +328,8 @@
         self.actions.append(interface.Assign(inflight.request.id, backend.entry.name, left_ns))
         wait_ns = int(max(OVERDUE_MEANS * mean, OVERDUE_AIM_FRACTION * inflight.request_class.aim_ns))
         if wait_ns < left_ns:
-            self.schedule(self.now + wait_ns, lambda: self.handle_overdue(inflight))
+            callback = self.schedule(self.now + wait_ns, lambda: self.handle_overdue(inflight))
+            inflight.callbacks.append(callback)
 
     def handle_overdue(self, inflight: InFlightRequest[Customer]) -> None:
         """An answer is overdue: hedge, or cancel the attempt to retry, within the retry budget."""
@@ -370,7 +371,7 @@
         if not attempt.in_flight:
             return
         self._record_outcome(attempt, outcome, inflight.request_class)
-        self._settle_units(inflight, outcome)
+        self.quotas.settle_units(inflight, outcome.billed_units)
         if outcome.terminal or inflight.closed:
             self.close(inflight)
         elif not inflight.attempts_in_flight():
@@ -392,13 +393,6 @@
         elif outcome.status not in (interface.Status.EXPIRED, interface.Status.UNUSED):
             self.shedder.time_allowed_ns += target_ns
 
-    def _settle_units(self, inflight: InFlightRequest[Customer], outcome: interface.Outcome) -> None:
-        """Charge the difference between the units that the server billed and the request's units."""
-        if outcome.billed_units is not None and inflight.customer.plan.rate > 0:
-            extra = outcome.billed_units - inflight.request.units
-            inflight.customer.allowance.adjust(-extra)
-            inflight.customer.unreported += extra
-
     def retry_or_end(self, inflight: InFlightRequest[Customer], outcome: interface.Outcome) -> None:
         """Retry a request that has no attempt in flight any more, or end it."""
         # Cancelling charged the retry budget already; unsent attempts and failed connections cost no work.
@@ -441,5 +435,6 @@
                 if attempt.in_flight:
                     self.actions.append(interface.CancelAttempt(inflight.request.id, number))
         inflight.closed = True
+        inflight.cancel_callbacks()
         if not inflight.attempts_in_flight():
             self.in_flight.pop(inflight.request.id, None)
--- a/gingerworks/policy/gap_counter.py
+++ b/gingerworks/policy/gap_counter.py
@@ -25,6 +25,8 @@
     many short ones do.  ``level`` is the allowance left.
     """
 
+    __slots__ = ("cap", "level", "m", "phase")
+
     def __init__(self, cap: float, level: float, phase: float) -> None:
         self.cap = cap
         self.level = level
--- a/gingerworks/policy/in_flight.py
+++ b/gingerworks/policy/in_flight.py
@@ -11,6 +11,7 @@
 from gingerworks import interface
 from gingerworks.policy.servers import Backend
 from gingerworks.policy.speculative_admission import UncertainRequest
+from gingerworks.policy.timer_queue import ScheduledCallback
 
 # Stands for ``customer.Customer``, which cannot be imported: its module imports this one.
 CustomerT = TypeVar("CustomerT")
@@ -19,6 +20,8 @@
 class Attempt:
     """One attempt to have a request served, on one server."""
 
+    __slots__ = ("backend", "counts_as_load", "in_flight", "may_have_run", "sent_ns")
+
     def __init__(self, backend: Backend, now: int) -> None:
         self.backend = backend
         self.sent_ns = now
@@ -34,6 +37,18 @@
     begun.
     """
 
+    __slots__ = (
+        "attempts",
+        "callbacks",
+        "closed",
+        "customer",
+        "deadline_ns",
+        "request",
+        "request_class",
+        "streaming",
+        "uncertainty",
+    )
+
     def __init__(
         self, request: interface.Request, request_class: interface.RequestClass, customer: CustomerT, now: int
     ) -> None:
@@ -42,11 +57,18 @@
         self.customer = customer
         self.deadline_ns = now + request.ttl_ns
         self.attempts: list[Attempt] = []
+        self.callbacks: list[ScheduledCallback] = []  # cancelled at its end, as they refer to the request
         self.closed = self.streaming = False
         # Set if the allowance known to this gateway did not cover the request, so that a reading of the
         # customer's shared count was considered.
         self.uncertainty: UncertainRequest | None = None
 
+    def cancel_callbacks(self) -> None:
+        """Cancel what is scheduled for this request."""
+        for callback in self.callbacks:
+            callback.cancel()
+        self.callbacks.clear()
+
     def attempts_in_flight(self) -> int:
         """The number of attempts without an outcome."""
         return sum(attempt.in_flight for attempt in self.attempts)
--- a/gingerworks/policy/quotas.py
+++ b/gingerworks/policy/quotas.py
@@ -39,14 +39,24 @@
     """The customers of one gateway and its calls to the shared counter."""
 
     def __init__(
-        self, settings: interface.Settings, rng: random.Random, started_ns: int, clock: ClockSync
+        self,
+        settings: interface.Settings,
+        rng: random.Random,
+        started_ns: int,
+        clock: ClockSync,
+        max_customers: int | None = None,
     ) -> None:
+        """Remembers at most ``max_customers`` customers, by default ``MAX_CUSTOMERS``."""
         self.settings = settings
+        self.max_customers = MAX_CUSTOMERS if max_customers is None else max_customers
         self.clock = clock
         self.rng = rng
         self.started_ns = started_ns
         self.plans = {plan.name: plan for plan in settings.plans}
+        # In order of their last requests: the customer without a request for the longest time comes first.
         self.customers: dict[tuple[str, str], Customer] = {}
+        self.forgotten_until_ns = 0  # the last request of any customer that was forgotten for lack of room
+        self._forgotten: list[Customer] = []
         self.calls: dict[int, CounterCall] = {}  # calls without an answer yet, by the name of the count
         self.speculation = SpeculativeAdmission(rng)
         # The fraction of uncertain requests that readings are taken for, and the fraction at which the
@@ -61,14 +71,25 @@
         customer leave that customer's quota alone.
         """
         key = (request.customer, request.plan)
-        if key not in self.customers and len(self.customers) >= MAX_CUSTOMERS:
-            # Forget the customer that was added first, which makes room for the new one.
-            del self.customers[next(iter(self.customers))]
-        customer = self.customers[key] = self.customers.get(key) or Customer(request, self, now)
+        known = self.customers.pop(key, None)
+        if known is None and len(self.customers) >= self.max_customers:
+            self._forget_longest_unused()
+        customer = self.customers[key] = known or Customer(request, self, now)
         customer.refill_allowances(now)
         customer.last_request_at_ns = now
         return customer
 
+    def _forget_longest_unused(self) -> None:
+        customer = self.customers.pop(next(iter(self.customers)))
+        customer.forgotten = True
+        self.forgotten_until_ns = customer.last_request_at_ns
+        self._forgotten.append(customer)
+
+    def take_forgotten(self) -> list[Customer]:
+        """The customers forgotten since the last call, whose use may still have to be reported."""
+        forgotten, self._forgotten = self._forgotten, []
+        return forgotten
+
     def check_quota(self, inflight: InFlightRequest[Customer], now: int) -> bool | None:
         """Whether the quota covers a request; ``None`` if a reading of the shared count is to decide."""
         customer, units = inflight.customer, inflight.request.units
@@ -125,6 +146,13 @@
         inflight.customer.record_sent(inflight.request.units, now)
         self.speculation.record_sent(self.worth(inflight))
 
+    def settle_units(self, inflight: InFlightRequest[Customer], billed_units: float | None) -> None:
+        """Charge the difference between the units that the server billed, if any, and the request's units."""
+        if billed_units is not None and inflight.customer.plan.rate > 0:
+            extra = billed_units - inflight.request.units
+            inflight.customer.allowance.adjust(-extra)
+            inflight.customer.unreported += extra
+
     def learn(self, inflight: InFlightRequest[Customer], admitted: bool) -> None:
         """Update the estimates with whether a reading admitted an uncertain request."""
         if inflight.uncertainty is not None:
@@ -150,7 +178,7 @@
         A report that is not urgent waits for a report period, which is longer while the counter is late and
         varies at random.
         """
-        if not self.settings.has_counter or customer.plan.rate <= 0:
+        if not self.settings.has_counter or customer.plan.rate <= 0 or customer.forgotten:
             return None
         planned, customer.report_scheduled = customer.report_scheduled, True
         if customer.counter_answered and self.is_report_urgent(customer):
--- a/gingerworks/policy/speculative_admission.py
+++ b/gingerworks/policy/speculative_admission.py
@@ -66,6 +66,8 @@
 class AdmitFraction:
     """The fraction of readings of the shared count that admitted their request; older ones count for less."""
 
+    __slots__ = ("admitted_weight", "weight")
+
     def __init__(self) -> None:
         self.weight = 0.0
         self.admitted_weight = 0.0
