Keep the ids of requests that may have run for a minute, and only those

A client that left and came again with the same id had its request run twice: seen 1.3 and 2.5 s later where the longest deadline is 0.6 s, and after some hundred other ids where the table was small.

Cause: ids were kept for the longest deadline to twice that, in two sets, the older of which was dropped early when the newer one was full, and ids of refused requests filled them. Now only ids in flight, and those that may have run, are kept (recent_ids.py), for 60 s or the longest deadline if that is longer, as short digests; with no room left, ids past the longest deadline go first, and then new requests are rejected with 503 rather than an id be forgotten.

--- a/gingerworks/gateway/__main__.py
+++ b/gingerworks/gateway/__main__.py
@@ -27,6 +27,7 @@
 from gingerworks.gateway.discovery import Change, Watch, change_from
 from gingerworks.gateway.frontend import Frontend
 from gingerworks.gateway.memory_budget import MemoryBudget
+from gingerworks.gateway.recent_ids import RecentIds
 from gingerworks.gateway.runtime import Runtime
 
 # This many sockets are set aside for the standard streams, the event loop, the listener, discovery and the
@@ -51,9 +52,19 @@
         self.backends = Backends(loop, config.settings, config.idle_timeout_ns, server_sockets)
         self.diagnostics = Diagnostics(loop, config.memory_limit_bytes, self._gauges)
         self.memory = MemoryBudget.within(config.memory_limit_bytes, resident_memory_bytes())
-        self.runtime = Runtime(loop, config, self.backends, self.memory.customers, self.diagnostics)
+        longest_deadline_ns = max(kind.deadline_ns for kind in config.settings.classes)
+        self.recent_ids = RecentIds(longest_deadline_ns, self.memory.remembered_ids)
+        self.runtime = Runtime(
+            loop, config, self.backends, self.memory.customers, self.recent_ids, self.diagnostics
+        )
         self.frontend = Frontend(
-            loop, self.runtime, config.settings, client_sockets, self.memory, self.diagnostics
+            loop,
+            self.runtime,
+            config.settings,
+            client_sockets,
+            self.memory,
+            self.recent_ids,
+            self.diagnostics,
         )
         self._watch_task: asyncio.Task[None] | None = None
         self._accept_task: asyncio.Task[None] | None = None
--- a/gingerworks/gateway/frontend.py
+++ b/gingerworks/gateway/frontend.py
@@ -26,6 +26,7 @@
 from gingerworks.gateway.diagnostics import Diagnostics
 from gingerworks.gateway.held_input import HeldInput
 from gingerworks.gateway.memory_budget import MemoryBudget
+from gingerworks.gateway.recent_ids import RecentIds
 from gingerworks.gateway.requests import Message, RequestRejected, RequestValidator
 from gingerworks.gateway.runtime import Runtime
 from gingerworks.gateway.shutdown import GracefulShutdown, ShutdownPhase
@@ -54,6 +55,7 @@
         settings: interface.Settings,
         budget: int,
         memory: MemoryBudget,
+        recent_ids: RecentIds,
         diagnostics: Diagnostics,
     ) -> None:
         """At most ``budget`` client connections are open at once; further ones wait in the backlog."""
@@ -64,6 +66,7 @@
         # Shared by all connections: each read is parsed before the next one.
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self._validator = RequestValidator(settings)
+        self._recent_ids = recent_ids
         self.clients = ClientTable(budget, diagnostics)
         self.held_input = HeldInput(memory.input_bytes)
         self._to_process: deque[ClientConnection] = deque()  # connections with input to go on with
@@ -250,6 +253,7 @@
                 raise RequestRejected(405, "GET only")
             return None
         request = self._validator.validate(message)
+        self._recent_ids.begin(message.correlation_id)
         return self.runtime.submit(
             client,
             request,
@@ -265,7 +269,11 @@
 
     def gauges(self) -> dict[str, int]:
         """What is in use now, for the log."""
-        return {"clients": len(self.clients.open), "bytes of input": self.held_input.total_bytes}
+        return {
+            "clients": len(self.clients.open),
+            "bytes of input": self.held_input.total_bytes,
+            "ids": len(self._recent_ids),
+        }
 
     @property
     def shutting_down(self) -> bool:
--- a/gingerworks/gateway/memory_budget.py
+++ b/gingerworks/gateway/memory_budget.py
@@ -25,7 +25,7 @@
 MAX_REMEMBERED_IDS = 50_000
 
 CUSTOMER_BYTES = 1800  # memory for what the decisions keep of one customer
-ID_BYTES = 110  # memory for one remembered correlation id
+ID_BYTES = 90  # memory for one remembered correlation id
 
 
 @dataclass(frozen=True, slots=True)
--- a/gingerworks/gateway/requests.py
+++ b/gingerworks/gateway/requests.py
@@ -1,8 +1,8 @@
 """Requests of clients: their framing and size limits, their validation, and the head to forward to a server.
 
 ``Message`` collects one HTTP request while it is parsed.  ``RequestValidator`` translates it into a request
-for the policy, after checking it against the settings and against the correlation ids of recent
-requests.  A request that fails a check raises ``RequestRejected`` with the HTTP status for the client.
+for the policy, after checking it against the settings.  A request that fails a check raises
+``RequestRejected`` with the HTTP status for the client.
 """
 
 from __future__ import annotations
@@ -15,7 +15,6 @@
 MAX_HEAD_BYTES = 16 * 1024  # a request with a larger head is rejected
 MAX_BODY_BYTES = 64 * 1024  # a request with a larger body is rejected
 MESSAGE_OVERHEAD_BYTES = 1000  # memory that a request takes beside its bytes
-MAX_REMEMBERED_IDS = 50_000  # this bounds the memory: beyond it, the older half is forgotten early
 CUSTOMER_ID_LIMIT = 1 << 33  # customers' ids are below this
 MAX_TIME_LEFT_S = 3600.0  # a longer time in X-Time-Left counts as this one
 HTTP_VERSIONS = ("1.1", "1.0")  # requests of other versions are rejected
@@ -154,25 +153,19 @@
 
 
 class RequestValidator:
-    """Validates requests against the settings and against the correlation ids of recent requests."""
+    """Validates requests against the settings."""
 
     def __init__(self, settings: interface.Settings) -> None:
         self._classes = {request_class.name.encode(): request_class for request_class in settings.classes}
         self._plans = {plan.name.encode(): plan.name for plan in settings.plans}
         self._gateways = settings.gateways
         self._max_units = settings.max_units
-        # Ids are kept for the longest deadline at least: after that no request with that id is in flight.
-        self._id_lifetime_ns = max(request_class.deadline_ns for request_class in settings.classes)
-        self._recent_ids: set[bytes] = set()
-        self._older_ids: set[bytes] = set()
-        self._rotated_at_ns = clock.now()
 
     def validate(self, message: Message) -> interface.Request:
         """Translate a message into a request; raises ``RequestRejected`` if it is not valid."""
         request = self._to_request(message)
         if not _ID.fullmatch(message.correlation_id):
             raise RequestRejected(400, "X-Correlation-Id: missing or bad")
-        self._remember_id(message.correlation_id)
         return request
 
     def _to_request(self, message: Message) -> interface.Request:
@@ -220,18 +213,3 @@
         if spread is None or first is None or not 1 <= spread <= self._gateways or first >= self._gateways:
             raise RequestRejected(400, "X-Metering: no set of gateways")
         return units, spread
-
-    def _remember_id(self, correlation_id: bytes) -> None:
-        if correlation_id in self._recent_ids or correlation_id in self._older_ids:
-            raise RequestRejected(409, "X-Correlation-Id: seen before")
-        now = clock.now()
-        if (
-            now - self._rotated_at_ns >= self._id_lifetime_ns
-            or len(self._recent_ids) >= MAX_REMEMBERED_IDS // 2
-        ):
-            # The ids are kept in two sets, which bounds the memory and the time for which an id is kept.
-            # New ids go to one set for one lifetime, or until it is full; it is then kept as the set of
-            # older ids until the next rotation.
-            older_ids = self._recent_ids if now - self._rotated_at_ns < 2 * self._id_lifetime_ns else set()
-            self._recent_ids, self._older_ids, self._rotated_at_ns = set(), older_ids, now
-        self._recent_ids.add(correlation_id)
--- a/gingerworks/gateway/runtime.py
+++ b/gingerworks/gateway/runtime.py
@@ -24,6 +24,7 @@
 from gingerworks.gateway.counter import CounterClient
 from gingerworks.gateway.diagnostics import Diagnostics, Event
 from gingerworks.gateway.discovery import Change
+from gingerworks.gateway.recent_ids import RecentIds
 from gingerworks.gateway.server_starts import ServerStarts
 from gingerworks.policy import Policy
 
@@ -128,11 +129,13 @@
         config: Config,
         backends: Backends,
         max_customers: int,
+        recent_ids: RecentIds,
         diagnostics: Diagnostics,
     ) -> None:
         """The policy remembers at most ``max_customers`` customers."""
         self._loop = loop
         self._diagnostics = diagnostics
+        self._recent_ids = recent_ids
         self._config = config
         self._backends = backends
         self._server_start_times = ServerStarts()
@@ -276,6 +279,7 @@
             inflight = self._in_flight.get(request_id)
             if inflight is not None and not inflight.awaits_answer and not inflight.open_attempts:
                 del self._in_flight[request_id]
+                self._recent_ids.end(inflight.correlation_id, inflight.may_have_run)
 
     def _current_event(self, now: int, event: interface.Event | RequestSubmitted) -> interface.Event:
         """The event for the policy; a request gets the time that it still has after waiting in the queue."""
@@ -300,6 +304,7 @@
             for attempt in inflight.attempts:
                 if attempt is not None:
                     self._backends.abandon(attempt)
+            self._recent_ids.end(inflight.correlation_id, may_have_run=bool(inflight.attempts))
             if inflight.awaits_answer:
                 inflight.awaits_answer = False
                 inflight.client.send_failure()
