Take a server for gone as soon as another one is listed at its address

A keyed request whose first attempt may have run was repeated at the address of its server although discovery had told of a new process there, under another name and in another cell: it ran twice. And a cold new process got the load of the warm one.

Cause: the decisions and the connections know servers by name, and an address was never compared; the end of the former server may be told late or never. Now every list passes through address_owners.py first: a later start, or else the later word, owns an address, and the former owner counts as gone until it is told of elsewhere or anew. An old list that names both does not bring it back; two names that the first list gives one address stay, as nothing tells them apart.

The fixture of test_wall_clock_steps.py gave all its servers one address, which no discovery does; each has its own now, and no check changed.

--- a/gingerworks/gateway/backend.py
+++ b/gingerworks/gateway/backend.py
@@ -335,7 +335,7 @@
                 continue
             previous = self._endpoints.get(server.name)
             self._endpoints[server.name] = endpoint
-            if previous is None or _process_identity(previous) != _process_identity(endpoint):
+            if previous is None or previous.process_identity != endpoint.process_identity:
                 self.close_idle(server.name)
 
     def gauges(self) -> dict[str, int]:
@@ -352,7 +352,7 @@
         return (
             current is not None
             and current.server.phase is interface.Phase.READY
-            and _process_identity(current) == _process_identity(endpoint)
+            and current.process_identity == endpoint.process_identity
         )
 
     def start(self, attempt: Attempt) -> None:
@@ -564,10 +564,5 @@
         return True
 
 
-def _process_identity(endpoint: Endpoint) -> tuple[object, int]:
-    """Identify the process behind an entry: a restart or a move to another address makes a new one."""
-    return endpoint.address, endpoint.server.started_ns
-
-
 def _ignore(attempt: Attempt, status: interface.Status, answer: Answer | None) -> None:
     """Do nothing at the end of an abandoned attempt."""
--- a/gingerworks/gateway/discovery.py
+++ b/gingerworks/gateway/discovery.py
@@ -80,6 +80,11 @@
     server: interface.Server
     address: Address
 
+    @property
+    def process_identity(self) -> tuple[Address, int]:
+        """Identifies the process behind an entry: a restart or a move to another address makes a new one."""
+        return self.address, self.server.started_ns
+
 
 @dataclass(frozen=True, slots=True)
 class Change:
--- a/gingerworks/gateway/runtime.py
+++ b/gingerworks/gateway/runtime.py
@@ -19,6 +19,7 @@
 
 from gingerworks import interface
 from gingerworks.gateway import clock
+from gingerworks.gateway.address_owners import AddressOwners
 from gingerworks.gateway.backend import Answer, Attempt, Backends
 from gingerworks.gateway.config import Address, Config
 from gingerworks.gateway.counter import CounterClient
@@ -138,6 +139,7 @@
         self._recent_ids = recent_ids
         self._config = config
         self._backends = backends
+        self._address_owners = AddressOwners()
         self._server_start_times = ServerStarts()
         self._max_customers = max_customers
         self._policy = Policy(config.seed, config.settings, clock.now(), max_customers)
@@ -232,6 +234,7 @@
 
     def update_servers(self, change: Change, cached: bool = False) -> None:
         """Apply a server list or a change of it, from discovery or (if ``cached``) the configuration."""
+        change = self._address_owners.resolve(change)
         change = self._server_start_times.correct_start_times(change, cached)
         self._backends.update_servers(change)
         list_mode = (
--- a/tests/test_wall_clock_steps.py
+++ b/tests/test_wall_clock_steps.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import time
+from functools import cache
 from pathlib import Path
 from typing import Any
 
@@ -16,6 +17,7 @@
 from gingerworks import interface
 from gingerworks.gateway import clock
 from gingerworks.gateway.__main__ import Gateway
+from gingerworks.gateway.config import Address
 from gingerworks.gateway.discovery import Change, Endpoint
 from gingerworks.gateway.server_starts import ServerStarts
 from tests.loopback import (
@@ -47,7 +49,17 @@
 # At most this many of them go to a cold server: slow start saves up one for it, and time passes.
 MAX_SENT_TO_COLD = 2
 COLD_IN_PROCESS_NS = 10 * clock.NS_PER_S
-UNUSED_ADDRESS = ("127.0.0.1", closed_port())
+
+
+@cache
+def unused_address(name: str) -> Address:
+    """An address of this server alone, at which nothing listens."""
+    return ("127.0.0.1", closed_port())
+
+
+def absent_entry(name: str, status: str = "Ready", since_ms: int = 0) -> dict[str, Any]:
+    """A server with an address of its own, at which nothing listens."""
+    return entry(name, unused_address(name), status, since_ms)
 
 
 def settings_with(**rules: Any) -> dict[str, Any]:
@@ -118,7 +130,7 @@
     """A gateway that has received the first list, which contains this server."""
     gw = gateway(discovery=discovery.address_text, known=listing(known, index=0))
     await wait_until(lambda: gw.frontend.address[1] != 0 and len(discovery.peer.requests) == 1)
-    discovery.send_change(entry("first", UNUSED_ADDRESS))
+    discovery.send_change(absent_entry("first"))
     await wait_until(lambda: lists_server(gw, "first"))
     return gw
 
@@ -130,10 +142,10 @@
     step_before_start(monkeypatch, step_s)
 
     async def scenario() -> None:
-        discovery = await Discovery(entry("old", UNUSED_ADDRESS)).start()
-        gw = await start_following_gateway(discovery, entry("old", UNUSED_ADDRESS))
+        discovery = await Discovery(absent_entry("old")).start()
+        gw = await start_following_gateway(discovery, absent_entry("old"))
         before = clock.now()
-        discovery.send_change(entry("new", UNUSED_ADDRESS, since_ms=unix_ms()))
+        discovery.send_change(absent_entry("new", since_ms=unix_ms()))
         await wait_until(lambda: lists_server(gw, "new"))
         after = clock.now()
         assert START_CAPACITY <= capacity_share(gw, "new", after) <= max_capacity_share_at_age(after - before)
@@ -157,12 +169,12 @@
 
     async def scenario() -> None:
         since = unix_ms() - 10 * HOUR_S * 1000
-        discovery = await Discovery(entry("again", UNUSED_ADDRESS, since_ms=since)).start()
-        gw = await start_following_gateway(discovery, entry("again", UNUSED_ADDRESS, since_ms=since))
+        discovery = await Discovery(absent_entry("again", since_ms=since)).start()
+        gw = await start_following_gateway(discovery, absent_entry("again", since_ms=since))
         assert capacity_share(gw, "again", clock.now()) == 1.0
         before = clock.now()
-        restarted = entry("again", UNUSED_ADDRESS, since_ms=unix_ms())
-        discovery.send_change(restarted, entry("marker", UNUSED_ADDRESS), full=full)
+        restarted = absent_entry("again", since_ms=unix_ms())
+        discovery.send_change(restarted, absent_entry("marker"), full=full)
         await wait_until(lambda: lists_server(gw, "marker"))
         after = clock.now()
         assert (
@@ -180,7 +192,10 @@
 
     async def scenario() -> None:
         warm, cold = unix_ms() - 30 * 60 * 1000, unix_ms()
-        first = [entry("warm", UNUSED_ADDRESS, since_ms=warm), entry("cold", UNUSED_ADDRESS, since_ms=cold)]
+        first = [
+            absent_entry("warm", since_ms=warm),
+            absent_entry("cold", since_ms=cold),
+        ]
         gw = await start_following_gateway(await Discovery(*first).start(), first[0])
         now = clock.now()
         for name in ("warm", "cold"):
@@ -196,13 +211,13 @@
 @pytest.mark.parametrize("jump_ms", JUMPS_MS.values(), ids=JUMPS_MS)
 def test_a_start_time_that_jumps_between_lists_makes_no_cold_server_warm(jump_ms: int | None) -> None:
     async def scenario() -> None:
-        discovery = await Discovery(entry("old", UNUSED_ADDRESS)).start()
-        gw = await start_following_gateway(discovery, entry("old", UNUSED_ADDRESS))
+        discovery = await Discovery(absent_entry("old")).start()
+        gw = await start_following_gateway(discovery, absent_entry("old"))
         before, since = clock.now(), unix_ms()
-        discovery.send_change(entry("new", UNUSED_ADDRESS, since_ms=since))
+        discovery.send_change(absent_entry("new", since_ms=since))
         await wait_until(lambda: lists_server(gw, "new"))
         jumped = 0 if jump_ms is None else since + jump_ms
-        discovery.send_change(entry("new", UNUSED_ADDRESS, since_ms=jumped), entry("marker", UNUSED_ADDRESS))
+        discovery.send_change(absent_entry("new", since_ms=jumped), absent_entry("marker"))
         await wait_until(lambda: lists_server(gw, "marker"))
         after = clock.now()
         assert capacity_share(gw, "new", after) <= max_capacity_share_at_age(after - before)
@@ -215,13 +230,13 @@
     async def scenario() -> None:
         since = unix_ms() - HOUR_S * 1000
         back, stays = (
-            entry("back", UNUSED_ADDRESS, since_ms=since),
-            entry("stays", UNUSED_ADDRESS, since_ms=since),
+            absent_entry("back", since_ms=since),
+            absent_entry("stays", since_ms=since),
         )
         discovery = await Discovery(back, stays).start()
         gw = await start_following_gateway(discovery, back)
-        discovery.send_change(entry("back", UNUSED_ADDRESS, "Gone"))
-        discovery.send_change(entry("marker", UNUSED_ADDRESS), full=True)
+        discovery.send_change(absent_entry("back", "Gone"))
+        discovery.send_change(absent_entry("marker"), full=True)
         await wait_until(lambda: not lists_server(gw, "stays") and not lists_server(gw, "back"))
         discovery.send_change(back, stays)
         await wait_until(lambda: lists_server(gw, "stays"))
@@ -235,10 +250,8 @@
 
     async def scenario() -> None:
         since = unix_ms() - HOUR_S * 1000
-        discovery = await Discovery(
-            entry("old", UNUSED_ADDRESS), entry("since", UNUSED_ADDRESS, since_ms=since)
-        ).start()
-        gw = await start_following_gateway(discovery, entry("old", UNUSED_ADDRESS))
+        discovery = await Discovery(absent_entry("old"), absent_entry("since", since_ms=since)).start()
+        gw = await start_following_gateway(discovery, absent_entry("old"))
         assert capacity_share(gw, "since", clock.now()) == 1.0
 
     run(scenario())
@@ -387,12 +400,12 @@
         gw = await start_quota_sharing_gateway(discovery, counter, server)
         counts = [await counter_calls_for(gw, counter, 1) > 0]
         for number in (1, 2):
-            discovery.send_change(entry(f"new{number}", UNUSED_ADDRESS, "Terminating", unix_ms()))
+            discovery.send_change(absent_entry(f"new{number}", "Terminating", unix_ms()))
             await wait_until(lambda name=f"new{number}": lists_server(gw, name))  # type: ignore[misc]
             counts.append(await counter_calls_for(gw, counter, 1 + number) > 0)
         assert counts == [True, True, step_s == 0]
         # Quotas are shared again after a plausible start, as when the servers' clocks were set instead.
-        discovery.send_change(entry("new3", UNUSED_ADDRESS, "Terminating", clock.now() // clock.NS_PER_MS))
+        discovery.send_change(absent_entry("new3", "Terminating", clock.now() // clock.NS_PER_MS))
         await wait_until(lambda: lists_server(gw, "new3"))
         assert await counter_calls_for(gw, counter, 4) > 0
 
@@ -414,7 +427,7 @@
             name, interface.Phase.READY, started_ns=clock.now() - 10 * 60 * clock.NS_PER_S
         )
         starts.correct_start_times(
-            Change(index, index == 0, (Endpoint(server, UNUSED_ADDRESS),)), cached=False
+            Change(index, index == 0, (Endpoint(server, unused_address(server.name)),)), cached=False
         )
     assert starts.clock_check.is_plausible
 
@@ -437,7 +450,7 @@
         client, request = await Client.to(gw), build_request(X_Contract="small")
         assert (await client.send(request))[0] == 200
         (customer,) = gw.runtime._policy.quotas.customers.values()
-        discovery.send_change(entry("new", UNUSED_ADDRESS, since_ms=unix_ms()))
+        discovery.send_change(absent_entry("new", since_ms=unix_ms()))
         await wait_until(lambda: lists_server(gw, "new"))
         since = time.monotonic_ns()
         before = clock.now()
