--- a/gingerworks/gateway/__main__.py
+++ b/gingerworks/gateway/__main__.py
@@ -24,7 +24,7 @@
 from gingerworks.gateway.backend import Backends
 from gingerworks.gateway.config import Address, Config, ConfigError, load
 from gingerworks.gateway.diagnostics import Diagnostics, resident_memory_bytes
-from gingerworks.gateway.discovery import Change, Watch, change_from
+from gingerworks.gateway.discovery import Change, Watch, change_from, known_server_count
 from gingerworks.gateway.frontend import Frontend
 from gingerworks.gateway.memory_budget import MemoryBudget
 from gingerworks.gateway.recent_ids import RecentIds
@@ -50,7 +50,9 @@
         client_sockets = int((config.sockets - RESERVED_SOCKETS) * CLIENT_SOCKET_SHARE)
         server_sockets = config.sockets - RESERVED_SOCKETS - client_sockets
         self.diagnostics = Diagnostics(loop, config.memory_limit_bytes, self._gauges)
-        self.memory = MemoryBudget.within(config.memory_limit_bytes, resident_memory_bytes())
+        self.memory = MemoryBudget.within(
+            config.memory_limit_bytes, resident_memory_bytes(), known_server_count(config.known)
+        )
         self.backends = Backends(
             loop, config.settings, config.idle_timeout_ns, server_sockets, self.memory.received_bytes
         )
@@ -63,7 +65,7 @@
             loop,
             self.runtime,
             config.settings,
-            client_sockets,
+            min(client_sockets, self.memory.client_connections),
             self.memory,
             self.recent_ids,
             self.diagnostics,
--- a/gingerworks/gateway/discovery.py
+++ b/gingerworks/gateway/discovery.py
@@ -113,6 +113,12 @@
     return Change(index, raw.get("snapshot") is True, tuple(endpoints))
 
 
+def known_server_count(raw: object) -> int:
+    """How many entries a message has, before it is read."""
+    endpoints = raw.get("endpoints") if isinstance(raw, dict) else None
+    return len(endpoints) if isinstance(endpoints, list) else 0
+
+
 def _endpoint(entry: dict[str, object]) -> Endpoint:
     name, since, weight = entry["name"], entry.get("since_ms", 0), entry.get("weight", 1.0)
     group, phase = entry.get("group", 0), PHASES[str(entry["status"])]
--- a/gingerworks/gateway/memory_budget.py
+++ b/gingerworks/gateway/memory_budget.py
@@ -1,8 +1,8 @@
 """How the memory that the configuration allows is shared out among what grows with the traffic.
 
-What the process takes by itself is measured once it has read its configuration and its server list.  Fixed
-fractions of the rest bound each thing that others can make grow; the part that is not assigned is for
-connections, requests in flight and what the allocator loses to fragmentation.
+What the process takes by itself is measured once it has read its configuration.  Fixed fractions of the
+rest, less what the listed servers will take, bound each thing that others can make grow.  Together they are
+a little more than the whole, as all of them are never at their bounds at once.
 """
 
 from __future__ import annotations
@@ -20,11 +20,15 @@
 CUSTOMER_FRACTION = 0.15
 ID_FRACTION = 0.15
 
+CONNECTION_FRACTION = 0.45  # client connections, each with a request in flight
+
 MAX_INPUT_BYTES = 64 * BYTES_PER_MB
 MAX_ANSWER_BYTES = 64 * BYTES_PER_MB
 MAX_CUSTOMERS = 20_000
 MAX_REMEMBERED_IDS = 50_000
 
+SERVER_BYTES = 1300  # memory for what is kept of one listed server
+CONNECTION_BYTES = 7200  # memory for a client connection, its request in flight and the connection for that
 CUSTOMER_BYTES = 1800  # memory for what the decisions keep of one customer
 ID_BYTES = 90  # memory for one remembered correlation id
 
@@ -33,6 +37,7 @@
 class MemoryBudget:
     """The bounds of what others can make grow."""
 
+    client_connections: int
     input_bytes: int
     received_bytes: int
     unsent_bytes: int
@@ -40,11 +45,15 @@
     remembered_ids: int
 
     @classmethod
-    def within(cls, limit_bytes: int | None, used_bytes: int) -> MemoryBudget:
-        """The bounds for a process that may take ``limit_bytes`` and has taken ``used_bytes`` by itself."""
+    def within(cls, limit_bytes: int | None, used_bytes: int, servers: int = 0) -> MemoryBudget:
+        """The bounds for a process that may take ``limit_bytes`` and has taken ``used_bytes`` by itself.
+
+        ``servers`` is the number of servers that it is about to list.
+        """
         limit_bytes = DEFAULT_LIMIT_BYTES if limit_bytes is None else limit_bytes
-        free_bytes = max(MIN_FREE_BYTES, limit_bytes - used_bytes)
+        free_bytes = max(MIN_FREE_BYTES, limit_bytes - used_bytes - SERVER_BYTES * servers)
         return cls(
+            client_connections=int(CONNECTION_FRACTION * free_bytes / CONNECTION_BYTES),
             input_bytes=min(MAX_INPUT_BYTES, int(INPUT_FRACTION * free_bytes)),
             received_bytes=min(MAX_ANSWER_BYTES, int(RECEIVED_FRACTION * free_bytes)),
             unsent_bytes=min(MAX_ANSWER_BYTES, int(UNSENT_FRACTION * free_bytes)),
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -28,6 +28,8 @@
     Writer,
     answering_server,
     build_request,
+    entry,
+    listing,
     raw_config,
     read_message,
     run,
@@ -134,7 +136,8 @@
                 await asyncio.sleep(0.005)
 
     async def _client(self, address: Address, send: Send) -> None:
-        with contextlib.suppress(OSError):
+        # Where the gateway has closed the connection, a write fails; uvloop then raises a RuntimeError.
+        with contextlib.suppress(OSError, RuntimeError):
             _, writer = await asyncio.open_connection(*address)
             try:
                 await send(writer)
@@ -227,6 +230,46 @@
     run(scenario())
 
 
+# Guards against bounds that leave out what the listed servers take (incident of 2026-12-05).
+def test_bad_clients_beside_a_long_list_of_servers_do_not_pass_the_memory_limit(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        well = await answering_server(OK)
+        known = listing(*(entry(f"s-{number}", ("127.0.0.1", 1 + number)) for number in range(1500)))
+        known["endpoints"].append(entry("s-well", well.address))
+        with limited_process(tmp_path, known=known) as process:
+            await process.listening()
+            crowd = Crowd()
+            await crowd.join(process.address, CROWD, *KINDS)
+            await asyncio.sleep(OBSERVED_S)
+            await crowd.leave()
+            assert_within_limit(process)
+
+    run(scenario())
+
+
+# Guards against requests that are dropped behind one that there is no room for (incident of 2026-12-05).
+def test_both_of_two_requests_written_at_once_are_answered_beside_half_requests(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        server = await answering_server(OK)
+        with limited_process(tmp_path, server.address) as process:
+            await process.listening()
+            clients = [await Client.at(process.address) for _ in range(20)]
+            crowd = Crowd()
+            await crowd.join(process.address, 300, write_half_body)
+            await asyncio.sleep(0.3)
+            for _ in range(5):
+                for client in clients:
+                    client.writer.write(b"".join(build_request("post", body=4000 * b"y") for _ in range(2)))
+                answers = [await client.answer() for client in clients for _ in range(2)]
+                assert {status for status, _, _ in answers} <= {200, 429}
+            for client in clients:
+                client.writer.transport.abort()
+            await crowd.leave()
+            assert_within_limit(process)
+
+    run(scenario())
+
+
 # Guards against memory that grows with answers that clients do not read (incident of 2026-12-05).
 def test_answers_that_nobody_reads_do_not_pass_the_memory_limit(tmp_path: Path) -> None:
     answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (BODY_BYTES, BODY_BYTES * b"z")
