Move the parsing of requests out of the client connection, into a module of its own

The parser's callbacks and what they collect are now a class of their own (request_parser.py): it takes slices and returns requests, or a rejection.

--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -19,20 +19,16 @@
 from collections import deque
 from typing import cast
 
-import httptools
-
-from gingerworks.gateway import clock, number_parsing
+from gingerworks.gateway import clock
 from gingerworks.gateway.arrival_times import ArrivalTracker
 from gingerworks.gateway.backend import Answer
 from gingerworks.gateway.connection_owner import ConnectionOwner
 from gingerworks.gateway.diagnostics import Event
 from gingerworks.gateway.read_ahead import ReadAhead
-from gingerworks.gateway.requests import MAX_BODY_BYTES, MAX_HEAD_BYTES, Message, RequestRejected
+from gingerworks.gateway.request_parser import RequestParser
+from gingerworks.gateway.requests import Message, RequestRejected
 from gingerworks.gateway.system_errors import RETRYABLE_ERRORS
 
-# One request with its framing may have at most this size: in a body of one-byte chunks, each byte comes with
-# about six bytes of framing.
-MAX_MESSAGE_BYTES = MAX_HEAD_BYTES + 8 * MAX_BODY_BYTES
 # In one turn of the event loop, a connection handles so many requests and slices of its input together.
 MAX_STEPS_PER_TURN = 8
 # To find out whether a client has disconnected, its input is read ahead until so much of it is held.
@@ -61,18 +57,16 @@
 
 
 class ClientConnection(asyncio.BufferedProtocol):
-    """One client connection: both the transport's protocol and the target of the parser's callbacks."""
+    """One client connection, the protocol of its transport."""
 
     def __init__(self, owner: ConnectionOwner[ClientConnection], sock: socket.socket) -> None:
         self.owner = owner
         self.socket = sock
         self.transport: asyncio.Transport | None = None
-        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
-        self.message = Message()
         self.read_buffer = owner.read_buffer  # the buffer of the current read
         self.read_ahead = ReadAhead()  # read and not yet parsed
+        self.parser = RequestParser(self._write_continue)
         self.pending: deque[Message | RequestRejected] = deque()  # parsed and not yet handled, in order
-        self.parsing_stopped = False  # for good: the end of a request is unknown, or nothing may follow
         self.processing_scheduled = False  # a later turn of the event loop goes on with the input
         self.request_id: int | None = None  # the id of the request in flight
         self.state_since_ns = clock.now()  # start of the current wait, for the timeouts and for eviction
@@ -83,14 +77,8 @@
         self.keep_alive = True
         self.reading_paused = False
         self.write_blocked = False  # the client is slow to read the answers that were written
-        self.receiving = self.receiving_head = False  # a request, or its head, has begun and is incomplete
-        # ``messages_begun`` counts the requests begun in the latest read.  ``incomplete_bytes`` counts the
-        # bytes received of an incomplete request, except those of reads that also held a part of another
-        # request.
-        self.messages_begun = self.incomplete_bytes = 0
         self.counted_input_bytes = 0  # input counted against the limit on all clients together
         self.in_flight_bytes = 0  # the part of it that belongs to the request in flight
-        self.arrived_at_ns = 0  # the earliest time at which the data being parsed can have come
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by the transport once the connection can be read and written."""
@@ -183,37 +171,24 @@
         return False
 
     def _parse_slice(self) -> None:
-        """Pass the next slice of the input to the parser."""
-        between_messages, self.messages_begun = not self.receiving, 0
-        part = self.read_ahead.take_slice()
-        self.arrived_at_ns, pending_before = part.earliest_ns, len(self.pending)
-        try:
-            assert self.parser is not None
-            self.parser.feed_data(part.data)
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            self._reject(cause if isinstance(cause, RequestRejected) else RequestRejected(400, "malformed"))
-        except httptools.HttpParserError:
-            self._reject(RequestRejected(400, "malformed"))
-        except httptools.HttpParserUpgrade:
-            # The parser stops at an Upgrade header; the request itself is whole and is answered in HTTP/1.
-            self.message.keep_alive = False
-            self._stop_reading()
+        """Pass the next slice of the input to the parser, and queue what that completes."""
+        self.pending.extend(self.parser.feed(self.read_ahead.take_slice()))
+        if self.parser.began_request and self.has_requested:
+            # Its timeout starts here; that of the connection's first request started at the accept.
+            self.state_since_ns = clock.now()
+        if self.parser.stopped:
             self._drop_input()
-        if (
-            part.last_byte_ns is not None
-            and not self.receiving
-            and len(self.pending) > pending_before
-            and self.pending[-1] is self.message
-        ):
-            # The last byte received is the last one of this request.
-            self.message.arrived_at_ns = part.last_byte_ns
-        # The parser buffers an incomplete header field or chunk size without calling back, so its callbacks
-        # can't bound the length of an endless field or chunk size.
-        if self.receiving and self.messages_begun == between_messages:
-            self.incomplete_bytes += len(part.data)
-            if self.incomplete_bytes > (MAX_HEAD_BYTES if self.receiving_head else MAX_MESSAGE_BYTES):
-                self._reject(RequestRejected(431, "the request is too large"))
+            self._stop_reading()
+
+    def _write_continue(self) -> None:
+        """Tell a client that waits for it to send its body."""
+        if self.transport is not None:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    @property
+    def receiving(self) -> bool:
+        """Whether a request has begun and is incomplete."""
+        return self.parser.receiving
 
     def _pause_or_resume(self) -> None:
         """Read on, unless a request is in flight and more was read already, or nothing more is to be read."""
@@ -234,17 +209,15 @@
 
     def _reject(self, rejection: RequestRejected) -> None:
         """Queue an error answer behind the pending requests, and read nothing more from the client."""
-        if self.reading_stopped and self.parsing_stopped:
+        if self.parser.stopped:
             return
         self.pending.append(rejection)
-        self.message = Message()
         self._drop_input()
         self._stop_reading()
 
     def _drop_input(self) -> None:
         """Parse nothing more: the rest of the input has no meaning."""
-        self.parsing_stopped = True
-        self.parser = None  # it may hold a large part of a field
+        self.parser.stop()
         self.read_ahead.clear()
 
     def _stop_reading(self) -> None:
@@ -258,69 +231,18 @@
         self._count_input()
         self._schedule_processing()
 
-    def _incomplete_bytes_held(self) -> int:
-        if not self.receiving or self.parsing_stopped:
-            return 0
-        return max(self.message.held_bytes, self.incomplete_bytes if self.receiving_head else 0)
-
     def _count_input(self) -> None:
         """Count what is held for this client now against the limit on all clients together."""
         pending_bytes = sum(one.held_bytes for one in self.pending if isinstance(one, Message))
         held_bytes = (
-            self.in_flight_bytes + pending_bytes + self.read_ahead.held_bytes + self._incomplete_bytes_held()
+            self.in_flight_bytes + pending_bytes + self.read_ahead.held_bytes + self.parser.held_bytes
         )
         change = held_bytes - self.counted_input_bytes
         if change:
             self.counted_input_bytes = held_bytes
-            sheddable_bytes = self._incomplete_bytes_held() if self.request_id is None else 0
+            sheddable_bytes = self.parser.held_bytes if self.request_id is None else 0
             self.owner.held_input.change(self, change, sheddable_bytes)
 
-    def on_message_begin(self) -> None:
-        """Called by the parser at the start of a request.
-
-        Its timeout starts here, except for the first request, whose timeout started at the accept, and for
-        one behind a request in flight, whose timeout starts with the answer to that one.
-        """
-        self.message = Message()
-        self.receiving = self.receiving_head = True
-        self.messages_begun += 1
-        self.incomplete_bytes = 0
-        if self.has_requested and self.request_id is None:
-            self.state_since_ns = clock.now()
-
-    def on_url(self, url: bytes) -> None:
-        """Called by the parser with a part of the request target."""
-        self.message.count_head_bytes(len(url))
-        self.message.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser with one header field."""
-        self.message.add_field(name, value.rstrip(number_parsing.OPTIONAL_WHITESPACE))
-
-    def on_headers_complete(self) -> None:
-        """Called by the parser at the end of the head: checks the framing and answers ``Expect``."""
-        assert self.parser is not None
-        self.receiving_head = False
-        self.message.method = self.parser.get_method()
-        self.message.check_framing(self.parser.get_http_version())
-        if self.parser.should_upgrade() and self.message.has_body():
-            # The parser leaves the body to the new protocol, so the request would be forwarded without it.
-            raise RequestRejected(400, "Upgrade on a request with a body: send it without")
-        if self.message.expects_continue and self.transport is not None:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, body: bytes) -> None:
-        """Called by the parser with a part of the body, without chunk framing."""
-        self.message.add_body(body)
-
-    def on_message_complete(self) -> None:
-        """Called by the parser at the end of a request, which is queued for handling."""
-        assert self.parser is not None
-        self.receiving = False
-        self.message.keep_alive = self.parser.should_keep_alive()
-        self.message.arrived_at_ns = self.arrived_at_ns
-        self.pending.append(self.message)
-
     def _handle(self, message: Message | RequestRejected) -> None:
         """Pass a request on, or answer it at once if it is rejected."""
         self.has_requested = True
@@ -352,8 +274,6 @@
             return
         assert isinstance(message, Message)
         self.in_flight_bytes = message.held_bytes
-        if message is self.message:
-            self.message = Message()
 
     def _record_rejection(self, message: Message | RequestRejected, rejection: RequestRejected) -> None:
         identity = ""
