Free closed client connections at once instead of at a garbage collection

Cause: each client connection and its HTTP parser referred to each other, a stored rejection kept the traceback of the callback that raised it, and a rejection that was raised again was kept by its own frame. Now the parser does not refer to the connection, it is let go of at the close, and rejections are answered without being raised. The shares of input, customers and ids of what is free go from 0.2, 0.15, 0.15 to 0.15, 0.12, 0.12.

--- a/gingerworks/gateway/backend.py
+++ b/gingerworks/gateway/backend.py
@@ -450,6 +450,7 @@
             idle.remove(connection)
         if connection.dial is not None:
             connection.dial.cancel()
+            connection.dial = None
         if connection.stall_timer is not None:
             connection.stall_timer.cancel()
         if connection.socket is not None:
--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -65,7 +65,7 @@
         self.transport: asyncio.Transport | None = None
         self.read_buffer = owner.read_buffer  # the buffer of the current read
         self.read_ahead = ReadAhead()  # read and not yet parsed
-        self.parser = RequestParser(self._write_continue)
+        self.parser = RequestParser()
         self.pending: deque[Message | RequestRejected] = deque()  # parsed and not yet handled, in order
         self.processing_scheduled = False  # a later turn of the event loop goes on with the input
         self.request_id: int | None = None  # the id of the request in flight
@@ -173,6 +173,8 @@
     def _parse_slice(self) -> None:
         """Pass the next slice of the input to the parser, and queue what that completes."""
         self.pending.extend(self.parser.feed(self.read_ahead.take_slice()))
+        if self.parser.expects_continue and self.transport is not None:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if self.parser.began_request and self.has_requested:
             # Its timeout starts here; that of the connection's first request started at the accept.
             self.state_since_ns = clock.now()
@@ -180,11 +182,6 @@
             self._drop_input()
             self._stop_reading()
 
-    def _write_continue(self) -> None:
-        """Tell a client that waits for it to send its body."""
-        if self.transport is not None:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
     @property
     def receiving(self) -> bool:
         """Whether a request has begun and is incomplete."""
@@ -247,40 +244,34 @@
         """Pass a request on, or answer it at once if it is rejected."""
         self.has_requested = True
         self.owner.request_started(self)
+        if isinstance(message, RequestRejected):
+            return self._answer_rejection(message, b"")
         try:
-            if isinstance(message, RequestRejected):
-                raise message
             self.keep_alive = message.keep_alive
             self.request_id = self.owner.submit_request(self, message)
         except RequestRejected as rejection:
-            # A client that repeats a bad request has to reconnect each time.  The requests that were read
-            # behind this one are answered first.
-            self._stop_reading()
-            self.keep_alive = self.has_requests_ahead
-            self._record_rejection(message, rejection)
-            self._write_answer(
-                rejection.status,
-                str(rejection).encode(),
-                RETRY_AFTER_OVERLOAD if rejection.status == 503 else b"",
-            )
-            return
+            return self._answer_rejection(rejection, message.correlation_id)
         except Exception:
             # An unexpected error fails this request only; the connection goes on.
             log.exception("unexpected error while submitting a request; answering 502")
-            self._write_answer(502, b"failed")
-            return
+            return self._write_answer(502, b"failed")
         if self.request_id is None:
-            self._write_answer(200, b"ok")
-            return
-        assert isinstance(message, Message)
+            return self._write_answer(200, b"ok")
         self.in_flight_bytes = message.held_bytes
+        return None
 
-    def _record_rejection(self, message: Message | RequestRejected, rejection: RequestRejected) -> None:
-        identity = ""
-        if isinstance(message, Message):
-            identity = f"id {message.correlation_id[:MAX_LOGGED_ID_BYTES]!r}"
-        reason = f"{rejection.status} {rejection}"
-        self.owner.diagnostics.record(Event.REQUEST_REJECTED, reason, identity)
+    def _answer_rejection(self, rejection: RequestRejected, correlation_id: bytes) -> None:
+        """Answer a rejected request, and read nothing more.
+
+        A client that repeats a bad request has to reconnect each time.  The requests that were read behind
+        this one are answered first.
+        """
+        self._stop_reading()
+        self.keep_alive = self.has_requests_ahead
+        identity = f"id {correlation_id[:MAX_LOGGED_ID_BYTES]!r}" if correlation_id else ""
+        self.owner.diagnostics.record(Event.REQUEST_REJECTED, f"{rejection.status} {rejection}", identity)
+        headers = RETRY_AFTER_OVERLOAD if rejection.status == 503 else b""
+        self._write_answer(rejection.status, str(rejection).encode(), headers)
 
     def send_answer(self, answer: Answer) -> None:
         """Final answer served: forward a server's answer."""
--- a/gingerworks/gateway/memory_budget.py
+++ b/gingerworks/gateway/memory_budget.py
@@ -14,11 +14,11 @@
 DEFAULT_LIMIT_BYTES = 192 * BYTES_PER_MB  # assumed if the configuration names no limit
 MIN_FREE_BYTES = 2 * BYTES_PER_MB  # shared out even if the process takes nearly all by itself
 
-INPUT_FRACTION = 0.2  # requests that clients are sending or have sent and that are not answered yet
+INPUT_FRACTION = 0.15  # requests that clients are sending or have sent and that are not answered yet
 RECEIVED_FRACTION = 0.1  # answers that servers are sending
 UNSENT_FRACTION = 0.1  # answers that clients have not read, as far as the kernel does not hold them
-CUSTOMER_FRACTION = 0.15
-ID_FRACTION = 0.15
+CUSTOMER_FRACTION = 0.12
+ID_FRACTION = 0.12
 
 CONNECTION_FRACTION = 0.45  # client connections, each with a request in flight
 
--- a/gingerworks/gateway/request_parser.py
+++ b/gingerworks/gateway/request_parser.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 import httptools
 
 from gingerworks.gateway import number_parsing
@@ -22,10 +20,9 @@
 class RequestParser:
     """The target of the HTTP parser's callbacks."""
 
-    def __init__(self, on_continue_expected: Callable[[], None]) -> None:
-        """``on_continue_expected`` is called for a head whose client waits for an interim answer."""
+    def __init__(self) -> None:
+        # The HTTP parser refers back to this object, so both are freed at once only after ``stop``.
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
-        self._on_continue_expected = on_continue_expected
         self._message = Message()
         self._completed: list[Message | RequestRejected] = []
         self._earliest_ns = 0  # the earliest time at which the slice being parsed can have come
@@ -34,6 +31,7 @@
         self._incomplete_bytes = 0
         self._receiving_head = False
         self.receiving = False  # a request has begun and is incomplete
+        self.expects_continue = False  # in the latest slice, a head came whose client waits to send the body
 
     @property
     def stopped(self) -> bool:
@@ -54,7 +52,7 @@
 
     def stop(self) -> None:
         """Parse nothing more, and let go of an incomplete request."""
-        self._parser = None  # it may hold a large part of a field, and refers back to this object
+        self._parser = None  # it may hold a large part of a field
         self._message = Message()
 
     def feed(self, part: Slice) -> list[Message | RequestRejected]:
@@ -63,13 +61,12 @@
         begins_of_one_request = (
             0 if self.receiving else 1
         )  # as many begin if the slice holds parts of one only
-        self._begun_in_slice = 0
+        self._begun_in_slice, self.expects_continue = 0, False
         self._earliest_ns, self._completed = part.earliest_ns, []
         try:
             self._parser.feed_data(part.data)
         except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            self._reject(cause if isinstance(cause, RequestRejected) else RequestRejected(400, "malformed"))
+            self._reject(_rejection_for(error))
         except httptools.HttpParserError:
             self._reject(RequestRejected(400, "malformed"))
         except httptools.HttpParserUpgrade:
@@ -127,8 +124,7 @@
         if self._parser.should_upgrade() and self._message.has_body():
             # The parser leaves the body to the new protocol, so the request would be forwarded without it.
             raise RequestRejected(400, "Upgrade on a request with a body: send it without")
-        if self._message.expects_continue:
-            self._on_continue_expected()
+        self.expects_continue = self.expects_continue or self._message.expects_continue
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser with a part of the body, without chunk framing."""
@@ -141,3 +137,11 @@
         self._message.keep_alive = self._parser.should_keep_alive()
         self._message.arrived_at_ns = self._earliest_ns
         self._completed.append(self._message)
+
+
+def _rejection_for(error: httptools.HttpParserCallbackError) -> RequestRejected:
+    """The rejection that a callback has raised, without the traceback, which would keep what it refers to."""
+    cause = error.__context__
+    if isinstance(cause, RequestRejected):
+        return RequestRejected(cause.status, str(cause))
+    return RequestRejected(400, "malformed")
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -43,6 +43,7 @@
 CROWD = 700  # bad clients at once
 CONNECTS_PER_PAUSE = 25
 OBSERVED_S = 3.0  # how long the crowd stays
+REPEATED_S = 18.0  # how long crowds come one after another
 BODY_BYTES = 64 * 1024
 REQUEST_TIME_S = 2.0  # the time that a usual client gives the gateway for its answer
 ANSWER_SLACK_S = 0.5  # so much later an answer still counts as given
@@ -243,6 +244,27 @@
     run(scenario())
 
 
+# Guards against closed connections that pile up while bad clients come and go (incident of 2026-12-05).
+def test_bad_clients_that_come_again_and_again_do_not_pass_the_memory_limit(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        hanging, well = await silent_server(), await answering_server(OK)
+        with limited_process(tmp_path, hanging.address, well.address) as process:
+            await process.listening()
+            until = time.monotonic() + REPEATED_S
+            usual = [asyncio.create_task(statuses_of_usual_client(process.address, until)) for _ in range(5)]
+            while time.monotonic() < until:
+                crowd = Crowd()
+                await crowd.join(process.address, CROWD, *KINDS)
+                await asyncio.sleep(1.5)
+                await crowd.leave()
+            statuses = [status for answers in await asyncio.gather(*usual) for status in answers]
+            assert_within_limit(process)
+        assert set(statuses) <= {200, 429, 502, 503}
+        assert 200 in statuses
+
+    run(scenario())
+
+
 # Guards against bounds that leave out what the listed servers take (incident of 2026-12-05).
 def test_bad_clients_beside_a_long_list_of_servers_do_not_pass_the_memory_limit(tmp_path: Path) -> None:
     async def scenario() -> None:
