--- a/gingerworks/gateway/memory_budget.py
+++ b/gingerworks/gateway/memory_budget.py
@@ -14,6 +14,7 @@
 DEFAULT_LIMIT_BYTES = 192 * BYTES_PER_MB  # assumed if the configuration names no limit
 MIN_FREE_BYTES = 2 * BYTES_PER_MB  # shared out even if the process takes nearly all by itself
 
+SHARED_FRACTION = 0.9  # of what is unused; the rest is for what the allocator loses to fragmentation
 INPUT_FRACTION = 0.15  # requests that clients are sending or have sent and that are not answered yet
 RECEIVED_FRACTION = 0.1  # answers that servers are sending
 UNSENT_FRACTION = 0.1  # answers that clients have not read, as far as the kernel does not hold them
@@ -51,7 +52,8 @@
         ``servers`` is the number of servers that it is about to list.
         """
         limit_bytes = DEFAULT_LIMIT_BYTES if limit_bytes is None else limit_bytes
-        free_bytes = max(MIN_FREE_BYTES, limit_bytes - used_bytes - SERVER_BYTES * servers)
+        unused_bytes = limit_bytes - used_bytes - SERVER_BYTES * servers
+        free_bytes = max(MIN_FREE_BYTES, int(SHARED_FRACTION * unused_bytes))
         return cls(
             client_connections=int(CONNECTION_FRACTION * free_bytes / CONNECTION_BYTES),
             input_bytes=min(MAX_INPUT_BYTES, int(INPUT_FRACTION * free_bytes)),
