--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -234,11 +234,11 @@
         held_bytes = (
             self.in_flight_bytes + pending_bytes + self.read_ahead.held_bytes + self.parser.held_bytes
         )
-        change = held_bytes - self.counted_input_bytes
-        if change:
-            self.counted_input_bytes = held_bytes
-            sheddable_bytes = self.parser.held_bytes if self.request_id is None else 0
-            self.owner.held_input.change(self, change, sheddable_bytes)
+        # Rejecting an incomplete request would drop what was read behind it, so that must be parsed first.
+        may_reject = self.request_id is None and not self.read_ahead
+        incomplete_bytes = self.parser.held_bytes if may_reject else 0
+        change, self.counted_input_bytes = held_bytes - self.counted_input_bytes, held_bytes
+        self.owner.held_input.change(self, change, incomplete_bytes)
 
     def _handle(self, message: Message | RequestRejected) -> None:
         """Pass a request on, or answer it at once if it is rejected."""
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -17,6 +17,7 @@
 
 import pytest
 
+from gingerworks.gateway.client import ClientConnection
 from gingerworks.gateway.config import Address
 from tests.loopback import (
     BODY,
@@ -30,11 +31,13 @@
     answering_server,
     build_request,
     entry,
+    gateway,
     listing,
     raw_config,
     read_message,
     run,
     silent_server,
+    wait_until,
 )
 
 MEMORY_MB = 32
@@ -358,6 +361,51 @@
     run(scenario())
 
 
+# Guards against a whole request that is dropped with the incomplete one ahead of it, or for a stale count.
+@pytest.mark.parametrize("first_bytes", [3_000, 9_000, 13_000])
+def test_no_request_that_was_read_whole_is_dropped_where_input_is_scarce(
+    first_bytes: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    reject, dropped_bytes = ClientConnection.reject_for_memory, list[int]()
+
+    def record_and_reject(connection: ClientConnection) -> None:
+        dropped_bytes.append(connection.read_ahead.held_bytes)
+        assert connection.receiving
+        reject(connection)
+
+    monkeypatch.setattr(ClientConnection, "reject_for_memory", record_and_reject)
+
+    async def scenario() -> None:
+        server = await answering_server(OK)
+        gw = gateway(server.address)
+        gw.frontend.held_input.limit_bytes = 6_000
+        clients = [await Client.to(gw) for _ in range(8)]
+        for _ in range(5):
+            pairs = [
+                build_request("post", body=first_bytes * b"y") + build_request("post", body=500 * b"y")
+                for _ in clients
+            ]
+            for client, pair in zip(clients, pairs, strict=True):
+                client.writer.write(pair)
+            for number, client in enumerate(clients):
+                statuses = [(await client.answer())[0]]
+                if statuses[0] != 503:
+                    statuses.append((await client.answer())[0])
+                assert set(statuses) <= {200, 429, 503}
+                if 503 in statuses:
+                    assert await client.reader.read() == b""
+                    clients[number] = await Client.to(gw)
+        for client in clients:
+            client.writer.transport.abort()
+        await wait_until(lambda: not gw.frontend.clients.open)
+        assert gw.frontend.held_input.total_bytes == 0
+        assert not gw.frontend.held_input._incomplete_bytes
+        assert set(dropped_bytes) <= {0}
+        assert dropped_bytes or first_bytes < 6_000
+
+    run(scenario())
+
+
 # Guards against answers that are kept by the idle connections they came on (incident of 2026-12-05).
 def test_long_answers_for_many_clients_are_served_whole_within_the_memory_limit(tmp_path: Path) -> None:
     body = BODY_BYTES * b"z"
