--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -209,7 +209,7 @@
         """Answer a watch: the whole list, then each change, and an empty line every 2 s."""
         first, _, _ = await read_message(reader)
         self.record(f"discovery: called: {first}")
-        gone = asyncio.ensure_future(reader.read(1))
+        gone = asyncio.ensure_future(self._ended(reader))
         await asyncio.wait([gone], timeout=self.delay_s or 0.001)
         if gone.done():
             self.record("discovery: the caller has closed its connection before the answer")
@@ -228,6 +228,11 @@
             await asyncio.wait([gone, waiting], timeout=2.0, return_when=asyncio.FIRST_COMPLETED)
             waiting.cancel()
 
+    @staticmethod
+    async def _ended(reader: asyncio.StreamReader) -> None:
+        with contextlib.suppress(ConnectionError):
+            await reader.read(1)
+
     @staticmethod
     def _write_line(writer: asyncio.StreamWriter, text: str) -> None:
         data = text.encode() + b"\n"
