--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,7 +13,7 @@
 GATEWAYS = 4  # BRIEF: a firm's requests come in through 2 to 4 of the gateways
 RATE, BURST, CEILING = 18.0, 36.0, 1.6  # BRIEF: 11 to 18 a second, 1 to 2.4 s of it at once, 1.6 to 2.6 times
 COUNTER_WAIT_S = 0.02  # a crowded counter; the settings give a call up after 50 ms
-FIRMS = 3
+FIRMS = 5
 # BRIEF: some firms ask up to 7.6 times their quota for 1.2 to 4.7 s now and then.
 SPELL_RATE, SPELL_S = 7.0 * RATE, 4.0
 REST_S = 2.6
