--- a/review/10/case.py
+++ b/review/10/case.py
@@ -38,6 +38,7 @@
 
 async def ask(gateway: s.Gateway, number: str, request: bytes, record: s.Record) -> tuple[int, bytes]:
     """Send a request on a new connection; returns the answer's status and body."""
+    record(f"client: {number} sent: {request.partition(b' HTTP')[0].decode()}")
     status, body = await asyncio.wait_for(s.exchange(gateway.port, request), 4.0)
     record(f"client: {number} answered {status} {body!r}")
     return status, body
