Move the parsing of answers out of backend.py, into a module of its own

Change: answer_parser.py parses one answer and the interim ones before it, as request_parser.py does for requests. Behaviour is meant to be the same. The test of malformed load reports calls the moved function, and now also checks that a well-formed one is read.

--- /dev/null
+++ b/gingerworks/gateway/answer_parser.py
@@ -0,0 +1,162 @@
+"""Parses what a server sends in answer to one request: interim answers (1xx) and then the final answer."""
+
+from __future__ import annotations
+
+import json
+
+import httptools
+
+from gingerworks import interface
+from gingerworks.gateway import number_parsing
+
+MAX_BODY_BYTES = 64 * 1024  # an answer with a larger body is rejected
+MAX_ANSWER_BYTES = MAX_BODY_BYTES + 16 * 1024  # an answer with its head and framing may have this size
+MAX_INTERIM_ANSWERS = 16  # a server may send this many answers with a 1xx status before the final answer
+MAX_LOAD_REPORT_BYTES = 1024  # longer values of X-Backend-Load are ignored
+HTTP_PREFIX, HTTP_VERSIONS = b"HTTP/", ("1.1", "1.0")
+ANSWER_HEADERS_FOR_CLIENT = (b"content-type", b"content-encoding")  # the client needs these to read the body
+FRAMING_HEADERS = (b"content-length", b"transfer-encoding")  # without these, the close ends an answer
+
+
+class InvalidAnswer(Exception):
+    """A server's answer violates the protocol or a limit of this module; the text says how."""
+
+
+class Answer:
+    """A server's answer, filled in by the parser."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.body = b""
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.billed_units: float | None = None  # the units that the server bills for the request
+        self.load_report: tuple[tuple[str, float], ...] = ()  # the server's X-Backend-Load
+        self.reported_unprocessed = False  # whether the server sent ``X-Unprocessed: 1``
+
+    def attempt_status(self) -> interface.Status:
+        """The status of the attempt: only a 503 or 504 with ``X-Unprocessed: 1`` proves that it never ran."""
+        if self.status == 200:
+            return interface.Status.DELIVERED
+        if self.status in (503, 504) and self.reported_unprocessed:
+            return interface.Status.SHED
+        return interface.Status.ERROR
+
+
+class AnswerParser:
+    """Parses one final answer and the interim answers before it; what follows it does not change it."""
+
+    def __init__(self, settings: interface.Settings) -> None:
+        self._settings = settings
+        # The HTTP parser refers back to this object, so both are freed at once only after ``stop``.
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self._received_bytes = self._interim_answers = 0
+        self._framed = self._ends_at_close = False
+        self.answer = Answer()
+        self.begun = False  # an answer has begun and is incomplete
+        self.complete = False  # the final answer is complete
+        self.keep_alive = False  # the server allows a further request on the connection
+
+    def stop(self) -> None:
+        """Parse nothing more, and let go of the answer."""
+        self._parser, self.answer = None, Answer()
+
+    def feed(self, data: bytes) -> None:
+        """Parse a part of the answer; raises ``InvalidAnswer`` if it cannot be a part of a valid one."""
+        if not self._received_bytes and not data.startswith(HTTP_PREFIX[: len(data)]):
+            raise InvalidAnswer("not HTTP")  # the HTTP parser also accepts other protocols
+        self._received_bytes += len(data)
+        assert self._parser is not None
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.keep_alive = False
+            if not self.complete:
+                raise InvalidAnswer(str(error.__context__ or error)) from None
+        if not self.complete and self._received_bytes > MAX_ANSWER_BYTES:
+            raise InvalidAnswer("the answer is too long")
+
+    def end_of_connection(self) -> None:
+        """The server has ended the connection: that completes an answer without framing."""
+        if self._ends_at_close and not self.complete:
+            self.on_message_complete()
+
+    def on_message_begin(self) -> None:
+        """Parser's callback."""
+        if self.complete:
+            self.keep_alive = False  # further data follows the complete answer
+            return
+        self.begun, self._framed = True, False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser's callback."""
+        # In each callback of the parser, data that follows a complete answer must not change that answer.
+        if self.complete:
+            return
+        name, value, answer = name.lower(), value.rstrip(number_parsing.OPTIONAL_WHITESPACE), self.answer
+        self._framed = self._framed or name in FRAMING_HEADERS
+        if name == b"content-length" and int(value) > MAX_BODY_BYTES:
+            # The answer is rejected before its body is read.
+            raise InvalidAnswer(f"a body of {value.decode()} bytes is too long")
+        if name in ANSWER_HEADERS_FOR_CLIENT:
+            answer.headers.append((name, value))
+        elif name == b"x-unprocessed":
+            answer.reported_unprocessed = value == b"1"
+        elif name == b"x-settled":
+            answer.billed_units = parse_billed_units(value, self._settings.max_units)
+        elif name == b"x-backend-load":
+            answer.load_report = parse_load_report(value, self._settings.report_names)
+
+    def on_headers_complete(self) -> None:
+        """Parser's callback."""
+        if self.complete:
+            return
+        assert self._parser is not None
+        if self._parser.get_http_version() not in HTTP_VERSIONS:
+            raise InvalidAnswer("not HTTP/1.0 or HTTP/1.1")
+        self._ends_at_close = not self._framed and self._parser.get_status_code() >= 200
+
+    def on_body(self, body: bytes) -> None:
+        """Parser's callback."""
+        if not self.complete:
+            self.answer.body += body
+
+    def on_message_complete(self) -> None:
+        """Parser's callback; interim answers (1xx) before the final one are ignored."""
+        if self.complete:
+            return
+        assert self._parser is not None
+        self.begun = False
+        self.answer.status = self._parser.get_status_code()
+        if self.answer.status >= 200:
+            self.complete = True
+            # The parser is asked here, as it resets its state after this callback and would return false.
+            self.keep_alive = self._parser.should_keep_alive()
+        else:
+            self.answer = Answer()
+            self._interim_answers += 1
+            if self._interim_answers > MAX_INTERIM_ANSWERS:
+                raise InvalidAnswer("too many interim answers")
+
+
+def parse_billed_units(value: bytes, max_units: float) -> float | None:
+    """Read the units that a server bills for a request; None if the value is malformed or impossible."""
+    units = number_parsing.parse_decimal(value)
+    return units if units is not None and 0 < units <= max_units else None
+
+
+def parse_load_report(value: bytes, names: tuple[str, ...]) -> tuple[tuple[str, float], ...]:
+    """The fields of a load report that have these names; others and malformed values are ignored."""
+    if len(value) > MAX_LOAD_REPORT_BYTES:
+        return ()
+    try:
+        report = json.loads(value)
+    except (ValueError, RecursionError):  # RecursionError: deeply nested JSON
+        return ()
+    if not isinstance(report, dict):
+        return ()
+    pairs = ((name, report.get(name)) for name in names)
+    return tuple(
+        (name, float(n))
+        for name, n in pairs
+        if isinstance(n, (int, float)) and not isinstance(n, bool) and 0 <= n < 1e9
+    )
--- a/gingerworks/gateway/backend.py
+++ b/gingerworks/gateway/backend.py
@@ -2,23 +2,21 @@
 
 ``Backends`` knows the server list, keeps idle HTTP connections to each server for reuse and limits how many
 connections are open.  ``Attempt`` is one try of a request on one server; a ``Connection`` carries one attempt
-at a time and parses its ``Answer``.  Each attempt ends with exactly one status, which says whether the
+at a time.  Each attempt ends with exactly one status, which says whether the
 request may have run on the server.  Nothing is sent twice here: whether to retry is decided elsewhere.
 """
 
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import socket
 from collections.abc import Callable, Iterable
 
-import httptools
-
 from gingerworks import interface
-from gingerworks.gateway import clock, number_parsing
+from gingerworks.gateway import clock
 from gingerworks.gateway.answer_memory import READ_BYTES, ReceivedAnswers
+from gingerworks.gateway.answer_parser import Answer, AnswerParser, InvalidAnswer
 from gingerworks.gateway.dial import Dial, DialError, DialFailure
 from gingerworks.gateway.discovery import Change, Endpoint
 from gingerworks.gateway.idle_limit import IMMEDIATE_RESET_NS, IdleLimitEstimator
@@ -33,19 +31,12 @@
 # Servers close idle connections after a configured time at the latest.  The gateway closes them after this
 # share of it.
 IDLE_TIMEOUT_SHARE = 0.4
-MAX_BODY_BYTES = 64 * 1024  # an answer with a larger body is rejected
-MAX_ANSWER_BYTES = MAX_BODY_BYTES + 16 * 1024  # an answer with its head and framing may have this size
 # An answer that has begun must be complete within this time: servers write an answer in one go.
 ANSWER_STALL_S = 0.25
 DEFAULT_RECEIVED_BYTES = 16 << 20  # the memory for answers that are being received, if no limit is given
-MAX_INTERIM_ANSWERS = 16  # a server may send this many answers with a 1xx status before the final answer
 # A server may send a stray second answer some milliseconds after the first one.  A connection is reused only
 # after this time, so that such an answer is seen and not taken for the answer to the next request.
 MIN_IDLE_BEFORE_REUSE_NS = 20 * clock.NS_PER_MS
-MAX_LOAD_REPORT_BYTES = 1024  # longer values of X-Backend-Load are ignored
-HTTP_PREFIX, HTTP_VERSIONS = b"HTTP/", ("1.1", "1.0")
-ANSWER_HEADERS_FOR_CLIENT = (b"content-type", b"content-encoding")  # the client needs these to read the body
-FRAMING_HEADERS = (b"content-length", b"transfer-encoding")  # without these, the close ends an answer
 
 log = logging.getLogger(__name__)
 
@@ -76,30 +67,6 @@
         self.connection: Connection | None = None
 
 
-class InvalidAnswer(Exception):
-    """A server's answer violates the protocol or a limit of this module; the text says how."""
-
-
-class Answer:
-    """A server's answer, filled in by the parser."""
-
-    def __init__(self) -> None:
-        self.status = 0
-        self.body = b""
-        self.headers: list[tuple[bytes, bytes]] = []
-        self.billed_units: float | None = None  # the units that the server bills for the request
-        self.load_report: tuple[tuple[str, float], ...] = ()  # the server's X-Backend-Load
-        self.reported_unprocessed = False  # whether the server sent ``X-Unprocessed: 1``
-
-    def attempt_status(self) -> interface.Status:
-        """The status of the attempt: only a 503 or 504 with ``X-Unprocessed: 1`` proves that it never ran."""
-        if self.status == 200:
-            return interface.Status.DELIVERED
-        if self.status in (503, 504) and self.reported_unprocessed:
-            return interface.Status.SHED
-        return interface.Status.ERROR
-
-
 class Connection:
     """One connection to a server; it carries one attempt at a time."""
 
@@ -112,10 +79,8 @@
         self.idle_duration_ns: int | None = None  # the idle time before this attempt; None for the first one
         self.unsent = b""  # the rest of the request, which the kernel has not accepted yet
         self.watching_writable = False
-        self.parser: httptools.HttpResponseParser | None = None  # set while an attempt awaits its answer
-        self.answer = Answer()
-        self.received_bytes = self.interim_answers = 0
-        self.answer_begun = self.answer_complete = self.keep_alive = self.framed = self.ends_at_close = False
+        self.parser: AnswerParser | None = None  # set while an attempt awaits its answer
+        self.received_bytes = 0
         self.stall_timer: asyncio.TimerHandle | None = None
         self.dial: Dial | None = Dial(
             backends.loop,
@@ -156,9 +121,7 @@
         """Begin to send the attempt's request."""
         attempt = self.attempt
         assert attempt is not None
-        self.parser = httptools.HttpResponseParser(self)
-        self.answer, self.received_bytes, self.interim_answers = Answer(), 0, 0
-        self.answer_begun = self.answer_complete = self.ends_at_close = False
+        self.parser, self.received_bytes = self.backends.new_parser(), 0
         self.unsent = attempt.render(attempt.expires_at_ns - clock.now())
         return self.on_writable()
 
@@ -195,7 +158,7 @@
                 return self._read_again_later()
             if error.errno in RETRYABLE_ERRORS:
                 return None  # the connection still works; its data stays in the kernel
-            data, self.ends_at_close = b"", False  # a reset does not end an answer
+            return self._on_closed(ended=False)
         return self._on_data(data)
 
     def _on_data(self, data: bytes) -> None:
@@ -203,27 +166,32 @@
         if self.attempt is None:
             return self.backends.close_connection(self)  # closed by the server while idle, or a stray answer
         if not data:
-            return self._on_closed()
+            return self._on_closed(ended=True)
         if self.unsent:
             # Data that comes before the request is fully written belongs to an earlier request.  This one is
             # incomplete at the server and never ran.
             return self.backends.end_attempt(self, interface.Status.DIAL_FAILED)
-        if not self.received_bytes and not data.startswith(HTTP_PREFIX[: len(data)]):
-            return self._reject_answer("not HTTP")  # the parser also accepts other protocols
         self.received_bytes += len(data)
         self.backends.received_answers.add(self, len(data))
         assert self.parser is not None
         try:
-            self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self.keep_alive = False
-            if not self.answer_complete:
-                return self._reject_answer(str(error.__context__ or error))
-        return self._end_if_complete()
+            self.parser.feed(data)
+        except InvalidAnswer as error:
+            return self._reject_answer(str(error))
+        if self.parser.complete:
+            return self._end_answered()
+        if self.parser.begun and self.stall_timer is None:
+            # The server may stop in the middle of an answer and leave the connection open.
+            self.stall_timer = self.backends.loop.call_later(
+                ANSWER_STALL_S, self._reject_answer, "the rest of the answer did not come"
+            )
+        return None
 
     def drop_answer(self) -> None:
-        """Let go of the answer and of the parser, which refers back to this connection."""
-        self.parser, self.answer = None, Answer()
+        """Let go of the answer and of its parser."""
+        if self.parser is not None:
+            self.parser.stop()
+            self.parser = None
 
     def resume_reading(self) -> None:
         """Watch the socket again, now that there is memory for the answer."""
@@ -236,90 +204,28 @@
         assert sock is not None
         retry_read_later(self.backends.loop, sock, self.on_readable, lambda: self.socket is sock)
 
-    def _on_closed(self) -> None:
-        """The connection has ended: this completes an answer without framing, any other is cut off."""
-        if self.ends_at_close and not self.answer_complete:
-            self.on_message_complete()
-        if self.answer_complete:
-            return self._end_if_complete()
+    def _on_closed(self, ended: bool) -> None:
+        """The connection is closed; an end, unlike a reset, completes an answer without framing."""
+        if self.attempt is None:
+            return self.backends.close_connection(self)
+        if ended and self.parser is not None:
+            self.parser.end_of_connection()
+        if self.parser is not None and self.parser.complete:
+            return self._end_answered()
         return self.backends.end_attempt(
             self, interface.Status.DIAL_FAILED if self.unsent else interface.Status.DROPPED
         )
 
-    def _end_if_complete(self) -> None:
-        """End the attempt if its answer is complete or too long; otherwise limit the wait for the rest."""
-        if self.answer_complete:  # even if invalid data follows the answer
-            return self.backends.end_attempt(self, self.answer.attempt_status(), self.answer, self.keep_alive)
-        if self.received_bytes > MAX_ANSWER_BYTES:
-            return self._reject_answer("the answer is too long")
-        if self.answer_begun and self.stall_timer is None:
-            # The server may stop in the middle of an answer and leave the connection open.
-            self.stall_timer = self.backends.loop.call_later(
-                ANSWER_STALL_S, self._reject_answer, "the rest of the answer did not come"
-            )
-        return None
+    def _end_answered(self) -> None:
+        """End the attempt, as its answer is complete."""
+        assert self.parser is not None
+        answer, keep_alive = self.parser.answer, self.parser.keep_alive
+        self.backends.end_attempt(self, answer.attempt_status(), answer, keep_alive)
 
     def _reject_answer(self, why: str) -> None:
         log.info("server %s: answer rejected: %s", self.endpoint.server.name, why)
         self.backends.end_attempt(self, interface.Status.ERROR)
 
-    def on_message_begin(self) -> None:
-        """Parser's callback."""
-        if self.answer_complete:
-            self.keep_alive = False  # further data follows the complete answer
-            return
-        self.answer_begun, self.framed = True, False
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Parser's callback."""
-        # In each callback of the parser, data that follows a complete answer must not change that answer.
-        if self.answer_complete:
-            return
-        name, value, answer = name.lower(), value.rstrip(number_parsing.OPTIONAL_WHITESPACE), self.answer
-        self.framed = self.framed or name in FRAMING_HEADERS
-        if name == b"content-length" and int(value) > MAX_BODY_BYTES:
-            # The answer is rejected before its body is read.
-            raise InvalidAnswer(f"a body of {value.decode()} bytes is too long")
-        if name in ANSWER_HEADERS_FOR_CLIENT:
-            answer.headers.append((name, value))
-        elif name == b"x-unprocessed":
-            answer.reported_unprocessed = value == b"1"
-        elif name == b"x-settled":
-            answer.billed_units = self.backends.parse_billed_units(value)
-        elif name == b"x-backend-load":
-            answer.load_report = self.backends.parse_load_report(value)
-
-    def on_headers_complete(self) -> None:
-        """Parser's callback."""
-        if self.answer_complete:
-            return
-        assert self.parser is not None
-        if self.parser.get_http_version() not in HTTP_VERSIONS:
-            raise InvalidAnswer("not HTTP/1.0 or HTTP/1.1")
-        self.ends_at_close = not self.framed and self.parser.get_status_code() >= 200
-
-    def on_body(self, body: bytes) -> None:
-        """Parser's callback."""
-        if not self.answer_complete:
-            self.answer.body += body
-
-    def on_message_complete(self) -> None:
-        """Parser's callback; interim answers (1xx) before the final one are ignored."""
-        if self.answer_complete:
-            return
-        assert self.parser is not None
-        self.answer_begun = False
-        self.answer.status = self.parser.get_status_code()
-        if self.answer.status >= 200:
-            self.answer_complete = True
-            # The parser is asked here, as it resets its state after this callback and would return false.
-            self.keep_alive = self.parser.should_keep_alive()
-        else:
-            self.answer = Answer()
-            self.interim_answers += 1
-            if self.interim_answers > MAX_INTERIM_ANSWERS:
-                raise InvalidAnswer("too many interim answers")
-
 
 class Backends:
     """The server list, the attempts on servers, and the pools of idle connections to them."""
@@ -367,6 +273,10 @@
             if previous is None or previous.process_identity != endpoint.process_identity:
                 self.close_idle(server.name)
 
+    def new_parser(self) -> AnswerParser:
+        """A parser for the answer to one request."""
+        return AnswerParser(self._settings)
+
     def gauges(self) -> dict[str, int]:
         """What is in use now, for the log."""
         return {"servers": len(self._endpoints), "server connections": len(self._open)}
@@ -472,28 +382,6 @@
         if self._idle_timer is not None:
             self._idle_timer.cancel()
 
-    def parse_billed_units(self, value: bytes) -> float | None:
-        """Read the units that a server bills for a request; None if the value is malformed or impossible."""
-        units = number_parsing.parse_decimal(value)
-        return units if units is not None and 0 < units <= self._settings.max_units else None
-
-    def parse_load_report(self, value: bytes) -> tuple[tuple[str, float], ...]:
-        """The fields of a load report that the settings name; others and malformed values are ignored."""
-        if len(value) > MAX_LOAD_REPORT_BYTES:
-            return ()
-        try:
-            report = json.loads(value)
-        except (ValueError, RecursionError):  # RecursionError: deeply nested JSON
-            return ()
-        if not isinstance(report, dict):
-            return ()
-        pairs = ((name, report.get(name)) for name in self._settings.report_names)
-        return tuple(
-            (name, float(n))
-            for name, n in pairs
-            if isinstance(n, (int, float)) and not isinstance(n, bool) and 0 <= n < 1e9
-        )
-
     def _on_timeout(self, attempt: Attempt) -> None:
         if attempt.connection is not None:
             never_ran = attempt.connection.socket is None or bool(attempt.connection.unsent)
--- a/gingerworks/gateway/client.py
+++ b/gingerworks/gateway/client.py
@@ -20,8 +20,8 @@
 from typing import cast
 
 from gingerworks.gateway import clock
+from gingerworks.gateway.answer_parser import Answer
 from gingerworks.gateway.arrival_times import ArrivalTracker
-from gingerworks.gateway.backend import Answer
 from gingerworks.gateway.connection_owner import ConnectionOwner
 from gingerworks.gateway.diagnostics import Event
 from gingerworks.gateway.read_ahead import ReadAhead
--- a/gingerworks/gateway/runtime.py
+++ b/gingerworks/gateway/runtime.py
@@ -20,7 +20,8 @@
 from gingerworks import interface
 from gingerworks.gateway import clock
 from gingerworks.gateway.address_owners import AddressOwners
-from gingerworks.gateway.backend import Answer, Attempt, Backends
+from gingerworks.gateway.answer_parser import Answer
+from gingerworks.gateway.backend import Attempt, Backends
 from gingerworks.gateway.config import Address, Config
 from gingerworks.gateway.counter import CounterClient
 from gingerworks.gateway.diagnostics import Diagnostics, Event
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -16,7 +16,8 @@
 from gingerworks import interface
 from gingerworks.gateway import backend as backend_module
 from gingerworks.gateway import clock
-from gingerworks.gateway.backend import Answer, Attempt, Backends
+from gingerworks.gateway.answer_parser import Answer, parse_load_report
+from gingerworks.gateway.backend import Attempt, Backends
 from gingerworks.gateway.config import Address, config_from
 from gingerworks.gateway.dial import Dial
 from gingerworks.gateway.discovery import Change, change_from
@@ -265,10 +266,9 @@
     "report", [b"[" * 900 + b"]" * 900, b'{"util":' * 100_000, b'{"util":true}', b'{"util":-1}']
 )
 def test_a_malformed_load_report_is_ignored(report: bytes) -> None:
-    async def scenario() -> None:
-        assert make_backends().parse_load_report(report) == ()
-
-    run(scenario())
+    names = config_from(raw_config()).settings.report_names
+    assert parse_load_report(b'{"util":0.5}', names) == (("util", 0.5),)
+    assert parse_load_report(report, names) == ()
 
 
 def test_an_answer_cut_off_by_a_close_ends_the_attempt_as_dropped() -> None:
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -23,7 +23,8 @@
 from gingerworks import interface
 from gingerworks.gateway import discovery
 from gingerworks.gateway.__main__ import RESERVED_SOCKETS
-from gingerworks.gateway.backend import Answer, Attempt
+from gingerworks.gateway.answer_parser import Answer
+from gingerworks.gateway.backend import Attempt
 from tests.loopback import (
     OK,
     SETTINGS,
