Fail an answer that is longer than it states, instead of serving a part of it

What callers saw: status 200 with the part of a body that lies within the Content-Length, where a server states too small a length.

Cause: the parser ended an answer at its stated length, and what followed only closed the connection. Line ends behind it were dropped without a word, and what a later read would bring was not looked at.

Change: AnswerParser finds what follows the stated length, read or unread. Unless that is a second answer, the attempt fails as one that may have run.

--- a/gingerworks/gateway/answer_parser.py
+++ b/gingerworks/gateway/answer_parser.py
@@ -1,8 +1,14 @@
-"""Parses what a server sends in answer to one request: interim answers (1xx) and then the final answer."""
+"""Parses what a server sends in answer to one request: interim answers (1xx) and then the final answer.
+
+Where the final answer states the length of its body, the parser finds what follows it.  A second answer may
+follow.  Anything else could be the rest of the body, if the stated length is too small, so the answer is
+invalid.  The end of a chunked body is marked, so what follows one is not a part of it.
+"""
 
 from __future__ import annotations
 
 import json
+import re
 
 import httptools
 
@@ -17,6 +23,8 @@
 ANSWER_HEADERS_FOR_CLIENT = (b"content-type", b"content-encoding")  # the client needs these to read the body
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")  # without these, the close ends an answer
 
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}[ \r]")
+
 
 class InvalidAnswer(Exception):
     """A server's answer violates the protocol or a limit of this module; the text says how."""
@@ -43,14 +51,16 @@
 
 
 class AnswerParser:
-    """Parses one final answer and the interim answers before it; what follows it does not change it."""
+    """Parses one final answer and the interim answers before it; a second answer does not change it."""
 
     def __init__(self, settings: interface.Settings) -> None:
         self._settings = settings
         # The HTTP parser refers back to this object, so both are freed at once only after ``stop``.
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._received_bytes = self._interim_answers = 0
+        self._in_head = True
         self._framed = self._ends_at_close = False
+        self._content_length: int | None = None  # as the answer's head states it
         self.answer = Answer()
         self.begun = False  # an answer has begun and is incomplete
         self.complete = False  # the final answer is complete
@@ -61,20 +71,54 @@
         self._parser, self.answer = None, Answer()
 
     def feed(self, data: bytes) -> None:
-        """Parse a part of the answer; raises ``InvalidAnswer`` if it cannot be a part of a valid one."""
+        """Parse a part of the answer, or what follows it.
+
+        Raises ``InvalidAnswer`` if the data cannot belong to a valid answer, or follows one that may not be
+        whole.
+        """
         if not self._received_bytes and not data.startswith(HTTP_PREFIX[: len(data)]):
             raise InvalidAnswer("not HTTP")  # the HTTP parser also accepts other protocols
         self._received_bytes += len(data)
-        assert self._parser is not None
         try:
-            self._parser.feed_data(data)
+            following = self._parse(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.keep_alive = False
             if not self.complete:
                 raise InvalidAnswer(str(error.__context__ or error)) from None
+            return
+        if following:
+            self._check_following(following)
         if not self.complete and self._received_bytes > MAX_ANSWER_BYTES:
             raise InvalidAnswer("the answer is too long")
 
+    def _parse(self, data: bytes) -> bytes:
+        """Parse data up to the end of the answer; returns what follows it."""
+        assert self._parser is not None
+        view, position = memoryview(data), 0
+        while position < len(data) and not self.complete:
+            end = self._next_piece_end(data, position)
+            self._parser.feed_data(view[position:end])
+            position = end
+        return data[position:]
+
+    def _next_piece_end(self, data: bytes, position: int) -> int:
+        """Where the piece that begins at this position ends: at the end of the answer at the latest.
+
+        A head is parsed by lines, as only its fields tell where the answer ends.
+        """
+        if self._in_head:
+            line_end = data.find(b"\n", position)
+            return len(data) if line_end < 0 else line_end + 1
+        if self._content_length is None:
+            return len(data)
+        return min(len(data), position + self._content_length - len(self.answer.body))
+
+    def _check_following(self, following: bytes) -> None:
+        """Check that what follows the complete answer is not the rest of its body."""
+        self.keep_alive = False
+        if self._content_length is not None and not _STATUS_LINE.match(following):
+            raise InvalidAnswer(f"a body longer than the {self._content_length} bytes stated")
+
     def end_of_connection(self) -> None:
         """The server has ended the connection: that completes an answer without framing."""
         if self._ends_at_close and not self.complete:
@@ -85,7 +129,8 @@
         if self.complete:
             self.keep_alive = False  # further data follows the complete answer
             return
-        self.begun, self._framed = True, False
+        self.begun = self._in_head = True
+        self._framed, self._content_length = False, None
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Parser's callback."""
@@ -94,9 +139,11 @@
             return
         name, value, answer = name.lower(), value.rstrip(number_parsing.OPTIONAL_WHITESPACE), self.answer
         self._framed = self._framed or name in FRAMING_HEADERS
-        if name == b"content-length" and int(value) > MAX_BODY_BYTES:
-            # The answer is rejected before its body is read.
-            raise InvalidAnswer(f"a body of {value.decode()} bytes is too long")
+        if name == b"content-length":
+            self._content_length = int(value)
+            if self._content_length > MAX_BODY_BYTES:
+                # The answer is rejected before its body is read.
+                raise InvalidAnswer(f"a body of {self._content_length} bytes is too long")
         if name in ANSWER_HEADERS_FOR_CLIENT:
             answer.headers.append((name, value))
         elif name == b"x-unprocessed":
@@ -111,6 +158,7 @@
         if self.complete:
             return
         assert self._parser is not None
+        self._in_head = False
         if self._parser.get_http_version() not in HTTP_VERSIONS:
             raise InvalidAnswer("not HTTP/1.0 or HTTP/1.1")
         self._ends_at_close = not self._framed and self._parser.get_status_code() >= 200
@@ -125,7 +173,7 @@
         if self.complete:
             return
         assert self._parser is not None
-        self.begun = False
+        self.begun, self._in_head = False, True
         self.answer.status = self._parser.get_status_code()
         if self.answer.status >= 200:
             self.complete = True
--- a/gingerworks/gateway/backend.py
+++ b/gingerworks/gateway/backend.py
@@ -33,6 +33,7 @@
 IDLE_TIMEOUT_SHARE = 0.4
 # An answer that has begun must be complete within this time: servers write an answer in one go.
 ANSWER_STALL_S = 0.25
+PEEK_BYTES = 64  # enough to tell a second answer from the rest of a body
 DEFAULT_RECEIVED_BYTES = 16 << 20  # the memory for answers that are being received, if no limit is given
 # A server may send a stray second answer some milliseconds after the first one.  A connection is reused only
 # after this time, so that such an answer is seen and not taken for the answer to the next request.
@@ -176,6 +177,8 @@
         assert self.parser is not None
         try:
             self.parser.feed(data)
+            if self.parser.complete:
+                self.parser.feed(self._unread_bytes())
         except InvalidAnswer as error:
             return self._reject_answer(str(error))
         if self.parser.complete:
@@ -187,6 +190,14 @@
             )
         return None
 
+    def _unread_bytes(self) -> bytes:
+        """The first bytes that have come and have not been read; empty if there are none."""
+        assert self.socket is not None
+        try:
+            return self.socket.recv(PEEK_BYTES, socket.MSG_PEEK)
+        except OSError:
+            return b""
+
     def drop_answer(self) -> None:
         """Let go of the answer and of its parser."""
         if self.parser is not None:
