Move the reading of server lists out of discovery.py, into a module of its own

Change: server_list.py has the entries, the changes and their reading from JSON. Nothing but names of modules changes.

Result: the tests of discovery, its deadline, bounds and addresses passed.

--- a/gingerworks/gateway/__main__.py
+++ b/gingerworks/gateway/__main__.py
@@ -24,11 +24,12 @@
 from gingerworks.gateway.backend import Backends
 from gingerworks.gateway.config import Address, Config, ConfigError, load
 from gingerworks.gateway.diagnostics import Diagnostics, resident_memory_bytes
-from gingerworks.gateway.discovery import Change, Watch, change_from, known_server_count
+from gingerworks.gateway.discovery import Watch
 from gingerworks.gateway.frontend import Frontend
 from gingerworks.gateway.memory_budget import MemoryBudget
 from gingerworks.gateway.recent_ids import RecentIds
 from gingerworks.gateway.runtime import Runtime
+from gingerworks.gateway.server_list import Change, change_from, known_server_count
 
 # This many sockets are set aside for the standard streams, the event loop, the listener, discovery and the
 # counter, with some to spare.
--- a/gingerworks/gateway/address_owners.py
+++ b/gingerworks/gateway/address_owners.py
@@ -12,7 +12,7 @@
 
 from gingerworks import interface
 from gingerworks.gateway.config import Address
-from gingerworks.gateway.discovery import Change, Endpoint
+from gingerworks.gateway.server_list import Change, Endpoint
 
 NO_ADDRESS: Address = ("", 0)
 
--- a/gingerworks/gateway/backend.py
+++ b/gingerworks/gateway/backend.py
@@ -18,9 +18,9 @@
 from gingerworks.gateway.answer_memory import READ_BYTES, ReceivedAnswers
 from gingerworks.gateway.answer_parser import Answer, AnswerParser, InvalidAnswer
 from gingerworks.gateway.dial import Dial, DialError, DialFailure
-from gingerworks.gateway.discovery import Change, Endpoint
 from gingerworks.gateway.idle_limit import IMMEDIATE_RESET_NS, IdleLimitEstimator
 from gingerworks.gateway.read_retry import retry_read, retry_read_later
+from gingerworks.gateway.server_list import Change, Endpoint
 from gingerworks.gateway.system_errors import (
     DESCRIPTOR_SHORTAGE,
     RESOURCE_SHORTAGE,
--- a/gingerworks/gateway/runtime.py
+++ b/gingerworks/gateway/runtime.py
@@ -25,8 +25,8 @@
 from gingerworks.gateway.config import Address, Config
 from gingerworks.gateway.counter import CounterClient
 from gingerworks.gateway.diagnostics import Diagnostics, Event
-from gingerworks.gateway.discovery import Change
 from gingerworks.gateway.recent_ids import RecentIds
+from gingerworks.gateway.server_list import Change
 from gingerworks.gateway.server_starts import ServerStarts
 from gingerworks.policy import Policy
 
--- a/gingerworks/gateway/server_starts.py
+++ b/gingerworks/gateway/server_starts.py
@@ -15,7 +15,7 @@
 from gingerworks import interface
 from gingerworks.gateway import clock
 from gingerworks.gateway.clock_check import ClockCheck
-from gingerworks.gateway.discovery import MAX_SERVERS, Change, Endpoint
+from gingerworks.gateway.server_list import MAX_SERVERS, Change, Endpoint
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_address_reuse.py
+++ b/tests/test_address_reuse.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from gingerworks.gateway.discovery import change_from
+from gingerworks.gateway.server_list import change_from
 from tests.loopback import (
     OK,
     SETTINGS,
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -5,8 +5,8 @@
 import pytest
 
 from gingerworks import interface
-from gingerworks.gateway.discovery import Change, change_from
 from gingerworks.gateway.recent_ids import RecentIds
+from gingerworks.gateway.server_list import Change, change_from
 from gingerworks.policy import Policy
 from tests.loopback import (
     OK,
--- a/tests/test_discovery_deadline.py
+++ b/tests/test_discovery_deadline.py
@@ -10,7 +10,8 @@
 import pytest
 
 from gingerworks.gateway import discovery
-from gingerworks.gateway.discovery import Change, Watch
+from gingerworks.gateway.discovery import Watch
+from gingerworks.gateway.server_list import Change
 from tests.loopback import Peer, Reader, Writer, entry, listing
 from tests.virtual_time import run
 
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -20,7 +20,7 @@
 from gingerworks.gateway.backend import Attempt, Backends
 from gingerworks.gateway.config import Address, config_from
 from gingerworks.gateway.dial import Dial
-from gingerworks.gateway.discovery import Change, change_from
+from gingerworks.gateway.server_list import Change, change_from
 from tests.loopback import (
     BODY,
     MAY_HAVE_RUN,
--- a/tests/test_gateway_discovery.py
+++ b/tests/test_gateway_discovery.py
@@ -16,7 +16,8 @@
 from gingerworks import interface
 from gingerworks.gateway import clock, discovery
 from gingerworks.gateway.config import ConfigError, config_from
-from gingerworks.gateway.discovery import Change, Watch, change_from
+from gingerworks.gateway.discovery import Watch
+from gingerworks.gateway.server_list import Change, change_from
 from tests.loopback import (
     OK,
     Client,
--- a/tests/test_system_call_faults.py
+++ b/tests/test_system_call_faults.py
@@ -24,7 +24,7 @@
 from gingerworks.gateway import client_table, clock, dial, discovery, frontend, read_retry, shutdown
 from gingerworks.gateway import counter as counter_module
 from gingerworks.gateway.__main__ import Gateway
-from gingerworks.gateway.discovery import change_from
+from gingerworks.gateway.server_list import change_from
 from tests.fault_injection import Call, Fault, FaultySocket, FaultySocketModule
 from tests.loopback import (
     BODY,
--- a/tests/test_wall_clock_steps.py
+++ b/tests/test_wall_clock_steps.py
@@ -18,7 +18,7 @@
 from gingerworks.gateway import clock
 from gingerworks.gateway.__main__ import Gateway
 from gingerworks.gateway.config import Address
-from gingerworks.gateway.discovery import Change, Endpoint
+from gingerworks.gateway.server_list import Change, Endpoint
 from gingerworks.gateway.server_starts import ServerStarts
 from tests.loopback import (
     OK,
