--- a/gingerworks/gateway/__main__.py
+++ b/gingerworks/gateway/__main__.py
@@ -151,6 +151,7 @@
     gateway.start()
     # A SIGHUP that came since the start of ``main`` is handled now.
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    await asyncio.sleep(0)  # the watch begins its first call
     loop.call_soon(_freeze_startup_objects)  # takes no extra time, as discovery is waited for
     await gateway.wait_and_close()
 
