--- a/gingerworks/policy/driver.py
+++ b/gingerworks/policy/driver.py
@@ -14,6 +14,7 @@
 from gingerworks import interface
 from gingerworks.policy.clock_sync import ClockSync
 from gingerworks.policy.constants import OVERDUE_MEANS, SECOND, SWEEP_PERIOD_NS
+from gingerworks.policy.counter_calls import CounterCalls
 from gingerworks.policy.customer import Customer
 from gingerworks.policy.gap_counter import GapCounter
 from gingerworks.policy.in_flight import Attempt, InFlightRequest
@@ -48,13 +49,13 @@
         self.shedder = LoadShedder(settings, now)
         self.retry_budget = GapCounter(RETRY_BURST, RETRY_BURST, 0.0)
         self.in_flight: dict[int, InFlightRequest[Customer]] = {}
-        self.deferred_calls: dict[str, Customer] = {}  # held back in the first clock sync, by customer key
         self.scheduled = TimerQueue()
         self.state_log = StateLog()
         self.timer_due_at_ns: int | None = None
         self.shutdown_deadline_ns: int | None = None
         self.now = now
         self.actions: list[interface.Action] = []
+        self.counter_calls = CounterCalls(self)
         if settings.discovery_on_request:
             self.schedule(now, lambda: self.actions.append(interface.Watch()))
         self.schedule(now + SWEEP_PERIOD_NS, self.sweep)
@@ -142,7 +143,7 @@
         if self._shutdown_cuts_short(inflight):
             return self.decline(inflight, 0, DeclineReason.SHUTDOWN)
         customer, plan, units = inflight.customer, inflight.customer.plan, request.units
-        self._start_clock_sync(plan)
+        self.counter_calls.start_clock_sync(plan)
         in_quota = self.quotas.check_quota(inflight, self.now)
         if in_quota is False and plan.excess_worth <= plan.overrun_cost:
             return self.decline(inflight, customer.refill_wait_ns(units), DeclineReason.QUOTA)
@@ -156,11 +157,11 @@
         self._schedule_end(inflight)
         if in_quota is None:
             customer.waiting_requests.append(inflight)
-            self._call_counter(customer)
+            self.counter_calls.call(customer)
             return None
         self.admit(inflight, units if in_quota else 0.0)
         if in_quota and self.quotas.record_unreported(customer, units):
-            self.schedule_report(customer)
+            self.counter_calls.schedule_report(customer)
         return None
 
     def _register(self, request: interface.Request) -> InFlightRequest[Customer]:
@@ -171,20 +172,12 @@
             raise ValueError(f"request {request.id}: unknown class or plan")
         request_class = self.request_classes[request.class_name]
         customer = self.quotas.customer(request, self.now)
-        self._report_forgotten_customers()
+        self.counter_calls.report_forgotten_customers()
         inflight = self.in_flight[request.id] = InFlightRequest(request, request_class, customer, self.now)
         if self.shutdown_deadline_ns is not None:
             inflight.deadline_ns = min(inflight.deadline_ns, self.shutdown_deadline_ns)
         return inflight
 
-    def _report_forgotten_customers(self) -> None:
-        """Report what customers that had to be forgotten have used, as far as the counter takes calls now."""
-        for customer in self.quotas.take_forgotten():
-            if customer.report_callback is not None:
-                customer.report_callback.cancel()
-            if not self.quotas.clock.defers_customer_calls(self.now):
-                self._call_counter(customer)
-
     def _sheds(self, inflight: InFlightRequest[Customer]) -> bool:
         """Whether load shedding refuses this request."""
         request_class, plan, units = inflight.request_class, inflight.customer.plan, inflight.request.units
@@ -217,8 +210,8 @@
         """Handle an answer of the shared counter: decide the requests that were held for it."""
         if self.quotas.clock.expects_answer_for(answer.name):
             self.quotas.handle_clock_answer(answer, self.now)
-            self._schedule_clock_sync()
-            self._release_deferred_calls()
+            self.counter_calls.schedule_clock_sync()
+            self.counter_calls.release_deferred()
             return
         call = self.quotas.calls.get(answer.name)
         result = self.quotas.handle_answer(answer, self.now)
@@ -235,9 +228,9 @@
         if customer.counter_answered:
             self.actions += self.quotas.start_count_correction(customer, self.now)
         if customer.waiting_requests or (customer.counter_answered and is_urgent):
-            self._call_counter(customer)
+            self.counter_calls.call(customer)
         elif customer.unreported > 0 or (customer.counter_answered and customer.unreported < 0):
-            self.schedule_report(customer)
+            self.counter_calls.schedule_report(customer)
 
     def _decide(self, inflight: InFlightRequest[Customer], covered: bool) -> None:
         """Admit or refuse a held request once the counter has answered or the call has failed."""
@@ -251,58 +244,6 @@
             # Otherwise the shared count would keep the units booked for a request that is refused after all.
             customer.undo_booking(units)
 
-    def schedule_report(self, customer: Customer) -> None:
-        """Schedule the call that reports this customer's use to the shared counter."""
-        report_at_ns = self.quotas.schedule_report(customer, self.now)
-        if report_at_ns is not None:
-            customer.report_callback = self.schedule(report_at_ns, lambda: self._call_counter(customer))
-
-    def _call_counter(self, customer: Customer) -> None:
-        """Call the counter for this customer, unless the clock synchronisation defers or suspends calls."""
-        clock = self.quotas.clock
-        if clock.defers_customer_calls(self.now):
-            self.deferred_calls[customer.key] = customer
-            return
-        for action in self.quotas.start_call(customer, self.now):
-            if clock.suspends_customer_calls(self.now):
-                self._schedule_unsent_answer(action.name)
-            else:
-                self.actions.append(action)
-
-    def _schedule_unsent_answer(self, name: int) -> None:
-        """Answer a call of the counter as unsent, because the clock synchronisation has suspended calls."""
-        self.schedule(
-            self.now, lambda: self.handle_counted(interface.Counted(name, interface.Status.UNUSED, 0.0, 0))
-        )
-
-    def _start_clock_sync(self, plan: interface.Plan) -> None:
-        """Start agreeing with the other gateways on the time, at the first request that has a quota."""
-        clock = self.quotas.clock
-        if plan.rate > 0 and self.settings.has_counter and clock.start(self.now):
-            self._schedule_clock_sync()
-            self.schedule(clock.start_deadline_ns, self._release_deferred_calls)
-
-    def _release_deferred_calls(self) -> None:
-        """Make the calls deferred during the first attempt at agreement on the time, once it has ended."""
-        if self.deferred_calls and not self.quotas.clock.defers_customer_calls(self.now):
-            deferred, self.deferred_calls = self.deferred_calls, {}
-            for customer in deferred.values():
-                self._call_counter(customer)
-
-    def _schedule_clock_sync(self) -> None:
-        """Schedule the next call of the clock synchronisation."""
-        call_at_ns = self.quotas.clock.due_at_ns
-        if call_at_ns is not None:
-            self.schedule(call_at_ns, self._sync_clock)
-
-    def _sync_clock(self) -> None:
-        """Make the call of the clock synchronisation that is due."""
-        action = self.quotas.clock.take_due_call(self.now)
-        if action is not None:
-            self.actions.append(action)
-        else:
-            self._schedule_clock_sync()
-
     def choose_backend(self, inflight: InFlightRequest[Customer]) -> Backend | None:
         """The server for the next attempt of a request, if it may have one and a server is left."""
         limits = self.settings.limits
