Admit nothing from a ceiling's reserve by a reading that booked no units

Cause: for a request that will probably be refused a call books nothing, and its reading could still admit the request from the reserve, which is set aside once for all gateways. Those that read within one answer's time found the same units, and each granted them.

Change: such a request is held once more, for a call that books its units.

--- a/gingerworks/policy/customer.py
+++ b/gingerworks/policy/customer.py
@@ -24,7 +24,7 @@
 import hashlib
 import math
 import random
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from gingerworks import interface
 from gingerworks.policy.clock_sync import EPOCHS_PER_LAP, ClockSync
@@ -83,6 +83,14 @@
     plans: dict[str, interface.Plan]
 
 
+class HeldDecision(NamedTuple):
+    """What the answer to a call says of a request that was held for it."""
+
+    inflight: InFlightRequest[Customer]
+    covered: bool  # the quota covers the request
+    booked: bool  # the shared count has had its units since before the answer
+
+
 class Customer:
     """One customer's allowances at this gateway, and what is known of its shared count."""
 
@@ -310,9 +318,7 @@
             self.allowance.cap - deficit if now - self.overuse_since_ns >= self.correction_settle_ns else 0.0
         )
 
-    def apply_reading(
-        self, call: CounterCall, total: float, now: int
-    ) -> list[tuple[InFlightRequest[Customer], bool]]:
+    def apply_reading(self, call: CounterCall, total: float, now: int) -> list[HeldDecision]:
         """Apply a total of the shared count; returns whether the store covers each request that was held."""
         refilled = self.plan.rate * (now - call.count_began_ns) / SECOND
         total -= self.undo_duplicate_correction(call, total - call.amount - refilled)
@@ -333,7 +339,7 @@
             (others_rate_since - self.others_rate) * seconds / (seconds + REPORT_PERIOD_NS / SECOND)
         )
         self.allowance.level = self.allowance.cap - deficit - unreported
-        decisions = []
+        decisions: list[HeldDecision] = []
         for inflight, booked in call.held_requests:
             covered = deficit + inflight.request.units <= self.allowance.cap + EPSILON
             self.exhausted = not covered
@@ -342,7 +348,7 @@
                 self.unreported += inflight.request.units - booked
             else:
                 self.unreported -= booked
-            decisions.append((inflight, covered))
+            decisions.append(HeldDecision(inflight, covered, booked > 0.0))
         # The ceiling's reserve may be used while the store's deficit is no larger than the reserve, or than
         # the deficit shortly before: then no more is admitted than the store refills.
         recent_deficit = self.deficit if now - self.read_at_ns <= REPORT_PERIOD_NS else 0.0
@@ -377,7 +383,8 @@
     count found to be wrong, and units booked for held requests, that is, counted before the request is sent.
     The answer is a reading of the count, by which each held request is admitted or refused.  For a request
     that will probably be refused the call books nothing; if the reading admits it, a later call adds its
-    units.
+    units.  Several gateways may then find the same units, so such a reading admits nothing from the reserve
+    of a ceiling.
     """
 
     __slots__ = (
@@ -402,8 +409,9 @@
 
     @staticmethod
     def _booked_units(inflight: InFlightRequest[Customer]) -> float:
-        likely = inflight.uncertainty is None or inflight.uncertainty.chance >= BOOK_AHEAD_CHANCE
-        return inflight.request.units if likely else 0.0
+        uncertain = inflight.uncertainty
+        books = inflight.needs_booking or uncertain is None or uncertain.chance >= BOOK_AHEAD_CHANCE
+        return inflight.request.units if books else 0.0
 
     @property
     def has_unbooked_requests(self) -> bool:
--- a/gingerworks/policy/driver.py
+++ b/gingerworks/policy/driver.py
@@ -15,7 +15,7 @@
 from gingerworks.policy.clock_sync import ClockSync
 from gingerworks.policy.constants import OVERDUE_MEANS, SECOND, SWEEP_PERIOD_NS
 from gingerworks.policy.counter_calls import CounterCalls
-from gingerworks.policy.customer import Customer
+from gingerworks.policy.customer import Customer, HeldDecision
 from gingerworks.policy.gap_counter import GapCounter
 from gingerworks.policy.in_flight import Attempt, InFlightRequest
 from gingerworks.policy.load_shedding import LoadShedder
@@ -218,9 +218,9 @@
         if call is None or result is None:
             return
         customer, decisions = result
-        for inflight, covered in decisions:
-            if not inflight.closed:
-                self._decide(inflight, covered)
+        for decision in decisions:
+            if not decision.inflight.closed:
+                self._decide(decision)
         # Units booked for refused requests are taken back at once only while the counter keeps up: the calls
         # that take back units were a quarter of all calls to the counter.
         is_urgent = customer.unreported < 0 and self.quotas.read_fraction >= KEEPS_UP_FRACTION
@@ -232,17 +232,33 @@
         elif customer.unreported > 0 or (customer.counter_answered and customer.unreported < 0):
             self.counter_calls.schedule_report(customer)
 
-    def _decide(self, inflight: InFlightRequest[Customer], covered: bool) -> None:
-        """Admit or refuse a held request once the counter has answered or the call has failed."""
+    def _decide(self, decision: HeldDecision) -> None:
+        """Admit or refuse a held request once the counter has answered or the call has failed.
+
+        A request that only the reserve of a ceiling covers is held once more if its units are not booked.
+        """
+        inflight, covered = decision.inflight, decision.covered
         customer, units = inflight.customer, inflight.request.units
-        if customer.counter_answered:
-            admits = covered and (customer.may_use_ceiling_reserve or customer.ceiling_part_covers(units))
-            self.quotas.learn(inflight, admits)
         if not covered:
-            self.decline(inflight, customer.refill_wait_ns(units), DeclineReason.QUOTA)
-        elif not self.admit(inflight, units, customer.counter_answered):
+            self._learn(inflight, False)
+            return self.decline(inflight, customer.refill_wait_ns(units), DeclineReason.QUOTA)
+        part_covers = customer.ceiling_part_covers(units)
+        reserve_covers = customer.counter_answered and customer.may_use_ceiling_reserve
+        if reserve_covers and not part_covers and not decision.booked:
+            customer.undo_booking(units)
+            inflight.needs_booking = True
+            customer.waiting_requests.append(inflight)
+            return None
+        self._learn(inflight, reserve_covers or part_covers)
+        if not self.admit(inflight, units, decision.booked):
             # Otherwise the shared count would keep the units booked for a request that is refused after all.
             customer.undo_booking(units)
+        return None
+
+    def _learn(self, inflight: InFlightRequest[Customer], admitted: bool) -> None:
+        """Learn from a decision on a held request, if a reading of the shared count made it."""
+        if inflight.customer.counter_answered:
+            self.quotas.learn(inflight, admitted)
 
     def choose_backend(self, inflight: InFlightRequest[Customer]) -> Backend | None:
         """The server for the next attempt of a request, if it may have one and a server is left."""
--- a/gingerworks/policy/in_flight.py
+++ b/gingerworks/policy/in_flight.py
@@ -43,6 +43,7 @@
         "closed",
         "customer",
         "deadline_ns",
+        "needs_booking",
         "request",
         "request_class",
         "streaming",
@@ -62,6 +63,9 @@
         # Set if the allowance known to this gateway did not cover the request, so that a reading of the
         # customer's shared count was considered.
         self.uncertainty: UncertainRequest | None = None
+        # A reading that booked nothing would admit the request from the reserve of a ceiling.  Other gateways
+        # may have found the same units, so the request is held for a reading that books its units.
+        self.needs_booking = False
 
     def cancel_callbacks(self) -> None:
         """Cancel what is scheduled for this request."""
--- a/gingerworks/policy/quotas.py
+++ b/gingerworks/policy/quotas.py
@@ -16,7 +16,7 @@
 from gingerworks import interface
 from gingerworks.policy.clock_sync import ClockSync
 from gingerworks.policy.constants import COUNT_TTL_NS, REPORT_PERIOD_NS, SECOND
-from gingerworks.policy.customer import CounterCall, Customer
+from gingerworks.policy.customer import CounterCall, Customer, HeldDecision
 from gingerworks.policy.in_flight import InFlightRequest
 from gingerworks.policy.speculative_admission import Headroom, SpeculativeAdmission, UncertainRequest
 
@@ -226,8 +226,8 @@
 
     def handle_answer(
         self, answer: interface.Counted, now: int
-    ) -> tuple[Customer, list[tuple[InFlightRequest[Customer], bool]]] | None:
-        """Apply the answer to a customer's call; returns the customer and which held requests are covered."""
+    ) -> tuple[Customer, list[HeldDecision]] | None:
+        """Apply the answer to a customer's call; returns the customer and what it says of held requests."""
         call = self.calls.pop(answer.name, None)
         if call is None:
             return None
@@ -259,7 +259,7 @@
             # The units that the call booked have most likely been added to the count: a late counter still
             # carries out calls whose callers have stopped waiting.
             customer.unreported += (units if covered else 0.0) - booked_anyway
-            decisions.append((inflight, covered))
+            decisions.append(HeldDecision(inflight, covered, booked=False))
         return customer, decisions
 
     def handle_clock_answer(self, answer: interface.Counted, now: int) -> None:
