Soak wrong lengths and a slow discovery, with the server that it says drains

Change: servers sometimes state half the length of their body; discovery answers after 0 to 3 s that a server drains, and attempts there are checked from then on.

--- a/tests/incident_soak.py
+++ b/tests/incident_soak.py
@@ -1,7 +1,8 @@
 """A seeded soak of one gateway process with the least memory limit, among clients and servers of all kinds.
 
 Usual clients ask and keep their connections; others leave, come again with the same id, write far ahead, send
-half requests or flood; servers hang, turn away, reset and send long answers.  Then SIGTERM comes, once or in
+half requests or flood; servers hang, turn away, reset, send long answers and state wrong lengths.  Discovery
+takes up to some seconds to tell that a server drains.  Then SIGTERM comes, once or in
 series, clients go on with the connections that stay open, and SIGKILL comes as early as the operators' pages
 allow.  ``run_seed`` returns what broke a rule.  By hand, with the first seed and their number:
 
@@ -12,6 +13,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 import sys
 import tempfile
@@ -25,6 +27,7 @@
 
 from gingerworks.gateway.config import Address
 from tests.loopback import (
+    BODY,
     MAY_HAVE_RUN,
     NOT_RUN,
     OK,
@@ -35,6 +38,8 @@
     Reader,
     Writer,
     build_request,
+    entry,
+    listing,
     raw_config,
     read_message,
 )
@@ -52,8 +57,13 @@
 ANSWER_SLACK_S = 0.55  # so long after its time, an answer is not lost yet
 ATTEMPT_SLACK_S = 0.15  # an attempt may begin so long after its client's close
 CROSSING_S = 0.05  # a request written so shortly before the gateway's end crosses it
+TOLD_S = 6.0  # so long after the start, a drain counts as told if discovery has not told it before,
+DRAIN_GRACE_NS = 250_000_000
+DRAIN_SLACK_S = 0.3  # and so much later nothing may be sent: the grace, and the protocol's 50 ms
+HEARTBEAT_S = 2.0  # discovery sends an empty line so often
 LONG_BODY = 60_000 * b"z"
 LONG_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(LONG_BODY), LONG_BODY)
+TOO_SHORT = OK.replace(b"Content-Length: %d" % len(BODY), b"Content-Length: %d" % (len(BODY) // 2))
 HANG, RESET = b"hang", b"reset"
 HANG_S = 5.0
 SEEDS_AT_ONCE = 3
@@ -67,6 +77,7 @@
     may_have_run: dict[str, int] = field(default_factory=lambda: defaultdict(int))  # attempts, by id
     closed_at: dict[str, float] = field(default_factory=dict)
     once_only: set[str] = field(default_factory=set)  # ids of which one attempt at the most may run
+    at_draining: list[float] = field(default_factory=list)  # attempts at the draining server
     statuses: dict[int, int] = field(default_factory=lambda: defaultdict(int))
     failures: list[str] = field(default_factory=list)
 
@@ -80,6 +91,10 @@
         self.journal = Journal()
         self.deadline_s = self.rng.choice([0.6, 1.0, 2.0, 4.0])
         self.has_crowd = seed % 2 == 0
+        self.discovery_delay_s = self.rng.choice([0.0, 1.0, 2.5, 3.0])
+        self.started_at = 0.0
+        self.told_at: float | None = None  # when discovery has told of the drain
+        self.draining: Peer | None = None
         self.ended_at: float | None = None
         self.terminated_at: float | None = None
         self.next_id = 0
@@ -92,10 +107,25 @@
     async def run(self, folder: Path) -> list[str]:
         """Run all, and return what broke a rule."""
         servers = [await Peer(self.serve).start() for _ in range(SERVERS)]
-        config = raw_config(*(server.address for server in servers), limits=LIMITS, settings=self.settings())
+        self.draining = servers[-1]
+        discovery = await Peer(self.discover).start()
+        config = raw_config(
+            *(server.address for server in servers),
+            limits=LIMITS,
+            settings=self.settings(),
+            discovery=f"{discovery.address[0]}:{discovery.address[1]}",
+        )
+        self.server_list = listing(
+            *config["known"]["endpoints"][:-1],
+            entry(f"s{SERVERS - 1}", self.draining.address, "Terminating"),
+            index=2,
+        )
+        self.started_at = time.monotonic()
         with Process(folder, config) as process:
             process.limit_descriptors(DESCRIPTORS)
             await process.listening()
+            # The operators' front sends clients once the health check is answered.
+            await (await Client.at(process.address)).send(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
             tasks = [asyncio.create_task(self.usual_client(process.address)) for _ in range(USUAL_CLIENTS)]
             tasks += [
                 asyncio.create_task(self.leaving_client(process.address)) for _ in range(LEAVING_CLIENTS)
@@ -111,6 +141,7 @@
                 if isinstance(outcome, Exception):
                     self.journal.failures.append(f"the soak itself failed: {outcome!r}")
         self.check_attempts()
+        self.check_drain()
         return self.journal.failures
 
     def settings(self) -> dict[str, Any]:
@@ -118,7 +149,23 @@
         deadline_ns = int(self.deadline_s * 1e9)
         times = {"hard-limit-ns": deadline_ns, "on-time-ns": deadline_ns // 2}
         limits = SETTINGS["limits"] | {"connect-timeout-ns": 300_000_000}
-        return SETTINGS | {"classes": [kind | times for kind in SETTINGS["classes"]], "limits": limits}
+        rules = SETTINGS["rules"] | {"drain-grace-ns": DRAIN_GRACE_NS}
+        classes = [kind | times for kind in SETTINGS["classes"]]
+        return SETTINGS | {"classes": classes, "limits": limits, "rules": rules}
+
+    async def discover(self, peer: Peer, reader: Reader, writer: Writer) -> None:
+        """Discovery: it answers each call after this run's time, and then sends empty lines."""
+        await reader.readuntil(b"\r\n\r\n")
+        await asyncio.sleep(self.discovery_delay_s)
+        if writer.is_closing():
+            return
+        text = json.dumps(self.server_list).encode() + b"\n"
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(b"%x\r\n%b\r\n" % (len(text), text))
+        self.told_at = self.told_at or time.monotonic()
+        ended = asyncio.ensure_future(read_to_end(reader))
+        while not (await asyncio.wait([ended], timeout=HEARTBEAT_S))[0]:
+            writer.write(b"1\r\n\n\r\n")
 
     async def serve(self, peer: Peer, reader: Reader, writer: Writer) -> None:
         """A server that answers in many ways."""
@@ -127,9 +174,11 @@
             head = message.partition(b"\r\n\r\n")[0].lower()
             request_id = head.partition(b"x-correlation-id: ")[2].partition(b"\r\n")[0].decode()
             self.journal.attempts[request_id].append(time.monotonic())
+            if peer is self.draining:
+                self.journal.at_draining.append(time.monotonic())
             await asyncio.sleep(self.rng.uniform(0.002, 0.04))
-            answers = [OK, LONG_ANSWER, NOT_RUN, MAY_HAVE_RUN, HANG, RESET]
-            answer = self.rng.choices(answers, [76, 8, 6, 2, 4, 4])[0]
+            answers = [OK, LONG_ANSWER, NOT_RUN, MAY_HAVE_RUN, HANG, RESET, TOO_SHORT]
+            answer = self.rng.choices(answers, [72, 8, 6, 2, 4, 4, 4])[0]
             self.journal.may_have_run[request_id] += answer is not NOT_RUN
             if answer is RESET:
                 return
@@ -279,6 +328,21 @@
                 late_s = max(times) - closed_at
                 self.journal.failures.append(f"{request_id}: an attempt {late_s:.3f} s after the close")
 
+    def check_drain(self) -> None:
+        """Check that nothing was sent to the draining server once it counted as told."""
+        latest_told_at = self.started_at + TOLD_S
+        told_at = min(self.told_at or latest_told_at, latest_told_at)
+        if late := [at - told_at for at in self.journal.at_draining if at - told_at > DRAIN_SLACK_S]:
+            self.journal.failures.append(
+                f"{len(late)} attempts at the draining server, the last {late[-1]:.3f} s after it was told"
+            )
+
+
+async def read_to_end(reader: Reader) -> None:
+    """Read until the connection ends, in whatever way."""
+    with contextlib.suppress(ConnectionError):
+        await reader.read()
+
 
 async def run_seed(seed: int) -> tuple[list[str], dict[int, int]]:
     """Run one seed; returns what broke a rule, and how many answers of each status usual clients got."""
