Test that an unanswered call makes room after a minute

Cause: the time after which the oldest open call makes room had no test.

Change: a dead first call, and a discovery that takes 10 s for each other one.

--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -10,7 +10,7 @@
 import pytest
 
 from gingerworks import interface
-from gingerworks.gateway.discovery import Watch
+from gingerworks.gateway.discovery import MAX_UNANSWERED_S, Watch
 from gingerworks.gateway.server_list import Change
 from tests import loopback, virtual_time
 from tests.loopback import OK, Client, Peer, Reader, Writer, answering_server, build_request, entry, listing
@@ -232,6 +232,13 @@
     assert discovery.most_open <= 4  # the calls kept do not pile up
 
 
+# Guards against a dead call that takes the place of the one kept for a discovery slower than the deadline.
+def test_a_call_that_is_never_answered_makes_room_after_a_minute() -> None:
+    discovery = SlowDiscovery(10.0, at_once, silent_calls=1)
+    assert heard_after_s(discovery) < MAX_UNANSWERED_S + 10.0 + TURN_S
+    assert discovery.most_open <= 4
+
+
 def test_one_call_stays_open_once_one_is_answered() -> None:
     discovery = SlowDiscovery(5.0, at_once)
     heard_after_s(discovery, watched_s=20.0)
