Simplify the waits of a discovery call, and count an answer's bytes once

Cause: read once more, the change kept state that follows from other state: a call's state was set aside and put back around a wait, an overdue call asked whether it is the newest, which it always is, the request for a call was cleared in two places; the bytes of an answer were counted by the connection and by its parser.

Change: a time-out is told by its error, the request for a call is cleared in one place, and the parser alone counts. One test waits for the parser's count instead of the connection's; its assertions are the same.

--- a/gingerworks/gateway/answer_parser.py
+++ b/gingerworks/gateway/answer_parser.py
@@ -57,7 +57,8 @@
         self._settings = settings
         # The HTTP parser refers back to this object, so both are freed at once only after ``stop``.
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
-        self._received_bytes = self._interim_answers = 0
+        self._interim_answers = 0
+        self.received_bytes = 0
         self._in_head = True
         self._framed = self._ends_at_close = False
         self._content_length: int | None = None  # as the answer's head states it
@@ -76,9 +77,9 @@
         Raises ``InvalidAnswer`` if the data cannot belong to a valid answer, or follows one that may not be
         whole.
         """
-        if not self._received_bytes and not data.startswith(HTTP_PREFIX[: len(data)]):
+        if not self.received_bytes and not data.startswith(HTTP_PREFIX[: len(data)]):
             raise InvalidAnswer("not HTTP")  # the HTTP parser also accepts other protocols
-        self._received_bytes += len(data)
+        self.received_bytes += len(data)
         try:
             following = self._parse(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -88,7 +89,7 @@
             return
         if following:
             self._check_following(following)
-        if not self.complete and self._received_bytes > MAX_ANSWER_BYTES:
+        if not self.complete and self.received_bytes > MAX_ANSWER_BYTES:
             raise InvalidAnswer("the answer is too long")
 
     def _parse(self, data: bytes) -> bytes:
@@ -129,7 +130,7 @@
         if self.complete:
             self.keep_alive = False  # further data follows the complete answer
             return
-        self.begun = self._in_head = True
+        self.begun = True
         self._framed, self._content_length = False, None
 
     def on_header(self, name: bytes, value: bytes) -> None:
--- a/gingerworks/gateway/backend.py
+++ b/gingerworks/gateway/backend.py
@@ -2,8 +2,8 @@
 
 ``Backends`` knows the server list, keeps idle HTTP connections to each server for reuse and limits how many
 connections are open.  ``Attempt`` is one try of a request on one server; a ``Connection`` carries one attempt
-at a time.  Each attempt ends with exactly one status, which says whether the
-request may have run on the server.  Nothing is sent twice here: whether to retry is decided elsewhere.
+at a time.  Each attempt ends with exactly one status, which says whether the request may have run on the
+server.  Nothing is sent twice here: whether to retry is decided elsewhere.
 """
 
 from __future__ import annotations
@@ -81,7 +81,6 @@
         self.unsent = b""  # the rest of the request, which the kernel has not accepted yet
         self.watching_writable = False
         self.parser: AnswerParser | None = None  # set while an attempt awaits its answer
-        self.received_bytes = 0
         self.stall_timer: asyncio.TimerHandle | None = None
         self.dial: Dial | None = Dial(
             backends.loop,
@@ -122,7 +121,7 @@
         """Begin to send the attempt's request."""
         attempt = self.attempt
         assert attempt is not None
-        self.parser, self.received_bytes = self.backends.new_parser(), 0
+        self.parser = self.backends.new_parser()
         self.unsent = attempt.render(attempt.expires_at_ns - clock.now())
         return self.on_writable()
 
@@ -172,7 +171,6 @@
             # Data that comes before the request is fully written belongs to an earlier request.  This one is
             # incomplete at the server and never ran.
             return self.backends.end_attempt(self, interface.Status.DIAL_FAILED)
-        self.received_bytes += len(data)
         self.backends.received_answers.add(self, len(data))
         assert self.parser is not None
         try:
--- a/gingerworks/gateway/discovery.py
+++ b/gingerworks/gateway/discovery.py
@@ -108,6 +108,8 @@
         except OSError as error:
             if error.errno in RESOURCE_SHORTAGE:
                 self.state = CallState.LOCAL_SHORTAGE
+            elif isinstance(error, TimeoutError):
+                self.state = CallState.TIMED_OUT
             return describe_error(error.errno) if error.errno else str(error) or type(error).__name__
         except (ValueError, httptools.HttpParserError) as error:
             return str(error) or type(error).__name__
@@ -166,14 +168,11 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(seconds):
                     return await reader.read(READ_BYTES)
-        former_state, self.state = self.state, CallState.TIMED_OUT
         if self.answered:
             raise TimeoutError("nothing was received in time")
         self.overdue = True
-        self._watch.on_overdue(self)
-        data = await reader.read(READ_BYTES)  # raises if the wait ended by a time-out of the connection
-        self.state = former_state
-        return data
+        self._watch.on_overdue()
+        return await reader.read(READ_BYTES)  # raises if the wait ended by a time-out of the connection
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser with a part of the stream."""
@@ -225,7 +224,7 @@
             MIN_REFUSED_DELAY_BOUND_S, min(REFUSED_DELAY_PER_GATEWAY_S * gateways, MAX_REFUSED_DELAY_S)
         )
         self._refused_delay_bound_s = self._first_refused_delay_s
-        # The open calls, the newest last; once one is answered, it is the only one.
+        # The open calls, the newest last; all others are overdue.  Once one is answered, it is the only one.
         self._calls: dict[DiscoveryCall, asyncio.Task[None]] = {}
         self._needs_call = asyncio.Event()
         self._next_call_delay_s = 0.0
@@ -240,10 +239,10 @@
         """
         try:
             while True:
+                self._needs_call.clear()
                 if not any(call.answered for call in self._calls):
                     self._open_call()
                 await self._needs_call.wait()
-                self._needs_call.clear()
                 await pause(self._next_call_delay_s)
         finally:
             for task in self._calls.values():
@@ -254,7 +253,6 @@
         if len(self._calls) >= MAX_OPEN_CALLS:
             oldest, second, *_ = self._calls
             self._give_up(oldest if oldest.age_s() > MAX_UNANSWERED_S else second)
-        self._needs_call.clear()
         call = DiscoveryCall(self, self._index)
         self._calls[call] = asyncio.get_running_loop().create_task(self._run_call(call))
 
@@ -262,9 +260,9 @@
         reason = await call.run()
         self.first_attempt_done.set()
         self._log_reason(reason)
-        was_newest = self._is_newest(call)
+        is_newest = next(reversed(self._calls)) is call
         del self._calls[call]
-        if was_newest:
+        if is_newest:
             self._request_call(call.state)
 
     def _give_up(self, call: DiscoveryCall) -> None:
@@ -274,9 +272,6 @@
         for call in [call for call in self._calls if call is not kept]:
             self._give_up(call)
 
-    def _is_newest(self, call: DiscoveryCall) -> bool:
-        return next(reversed(self._calls)) is call
-
     def _request_call(self, state: CallState) -> None:
         """Have another call made soon, after one that came to this state."""
         if state is CallState.AWAITING_ANSWER:
@@ -297,12 +292,11 @@
             self._logged_reason = reason
             log.info("discovery: reopening the watch: %s", reason)
 
-    def on_overdue(self, call: DiscoveryCall) -> None:
-        """A call is not answered in time: another one is made beside it."""
+    def on_overdue(self) -> None:
+        """The newest call is not answered in time: another one is made beside it."""
         self.first_attempt_done.set()
         self._log_reason(f"no answer in {ANSWER_TIMEOUT_S} s; the call stays open")
-        if self._is_newest(call):
-            self._request_call(CallState.TIMED_OUT)
+        self._request_call(CallState.TIMED_OUT)
 
     def on_answer_begun(self, known_index: int, waited_s: float) -> None:
         """Discovery has begun to answer a call."""
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -148,7 +148,7 @@
             await reader.readuntil(b"\r\n\r\n")
             writer.write(answer)
             if resets:
-                await wait_until(lambda: any(connection.received_bytes for connection in pool._open))
+                await wait_until(lambda: any(c.parser and c.parser.received_bytes for c in pool._open))
                 writer.transport.get_extra_info("socket").setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
                 )
