Let the fleet models and the discovery tests share what they wrote twice

Cause: the new model of bursts wrote again the agenda of two other models, the plan and the shared counts; the tests of a slow discovery wrote again a discovery with a queue and a fleet before it.

Change: tests/agenda.py serves three models; SharedCounts, moved from test_quotas.py, three users; the queue's longest wait is a parameter. The soak's drain bound follows from its grace. No assertion or bound changes.

--- a/tests/burst_fleet.py
+++ b/tests/burst_fleet.py
@@ -6,17 +6,16 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 import random
-from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 
 from gingerworks import interface
 from gingerworks.policy import Policy
+from tests.agenda import Agenda
 from tests.quota_fleet import Ceiling, Store, plan
-from tests.support import MS, SAFE, SECOND, listing, server, settings
+from tests.support import MS, SAFE, SECOND, SharedCounts, listing, server, settings
 
 ANSWER_NS = 30 * MS
 CALL_TIMEOUT_NS = 50 * MS
@@ -44,11 +43,7 @@
 
     @property
     def plan(self) -> interface.Plan:
-        slack = max(0.1 * self.ceiling * self.burst, 1.0)
-        return interface.Plan(
-            "high", self.rate, self.burst, 0, 1.8, 0.0, 1.2,
-            self.ceiling * self.rate, self.ceiling * self.burst, slack,
-        )  # fmt: skip
+        return plan("high", self.rate, self.burst, 1.8, 1.2, self.ceiling, max_units=1.0)
 
 
 @dataclass
@@ -63,7 +58,7 @@
     longest_held_ns: int = 0  # from a request to its first attempt or its refusal
 
 
-class BurstFleet:
+class BurstFleet(Agenda):
     """The gateways, the counter and the customer."""
 
     def __init__(
@@ -75,15 +70,15 @@
         lost_calls: float = 0.0,
     ) -> None:
         """``lost_calls`` is the fraction of calls that are added and whose answers never come."""
+        super().__init__()
         self.customer, self.counter_wait_ns, self.lost_calls = customer, counter_wait_ns, lost_calls
         self.rng = random.Random(seed)
-        self.agenda: list[tuple[int, int, Callable[[int], None]]] = []
-        self.serial, self.ids = itertools.count(), itertools.count(1)
+        self.ids = itertools.count(1)
         self.result = Result()
         self.ceiling = Ceiling(customer.plan)
         self.store, self.ideal_store = Store(customer.plan), Store(customer.plan)
         self.asked_at_ns: dict[int, int] = {}
-        self.counts: dict[int, tuple[float, int]] = {}  # the total of each name, and when it is forgotten
+        self.counts = SharedCounts()
         self.policies = [
             Policy(
                 self.rng.getrandbits(48),
@@ -103,9 +98,6 @@
         for policy in self.policies:
             self.handle(0, policy, listing(*(server(f"s{n}") for n in range(6))))
 
-    def schedule(self, at: int, callback: Callable[[int], None]) -> None:
-        heapq.heappush(self.agenda, (at, next(self.serial), callback))
-
     def handle(self, now: int, policy: Policy, event: interface.Event) -> None:
         for action in policy.handle(now, [event]):
             match action:
@@ -130,11 +122,7 @@
         answered_ns = turn_ns + self.counter_wait_ns // 2
 
         def add(at: int) -> None:
-            total, forgotten_ns = self.counts.get(call.name, (0.0, 0))
-            if forgotten_ns <= at:
-                total, forgotten_ns = 0.0, at + call.ttl_ns
-            total += call.amount
-            self.counts[call.name] = total, forgotten_ns
+            total = self.counts.add(call, at)
             if self.rng.random() < self.lost_calls or answered_ns - now >= CALL_TIMEOUT_NS:
                 late = interface.Counted(call.name, interface.Status.EXPIRED, 0.0, CALL_TIMEOUT_NS)
                 self.deliver(now + CALL_TIMEOUT_NS, policy, late)
@@ -182,8 +170,5 @@
                 at = int(at_s * SECOND) + number * REQUEST_GAP_NS
                 self.schedule(at, partial(self.ask, policy=policy))
             at_s += customer.rest_s
-        end_ns = int((at_s + 2.0) * SECOND)
-        while self.agenda[0][0] < end_ns:
-            now, _, callback = heapq.heappop(self.agenda)
-            callback(now)
+        self.run_until(int((at_s + 2.0) * SECOND))
         return self.result
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import math
 import random
 from collections.abc import Callable
@@ -16,6 +14,7 @@
 
 from gingerworks import interface
 from gingerworks.policy import Policy
+from tests.agenda import Agenda
 from tests.support import KEYED, MS, SAFE, SECOND, UNSAFE, listing, settings
 
 GATEWAYS = 30
@@ -203,13 +202,12 @@
             self.schedule_event(now, interface.Outcome(number, attempt, status, now - sent_at, served))
 
 
-class Fleet:
+class Fleet(Agenda):
     """All gateways and servers on one clock."""
 
     def __init__(self, seed: int, scenario: Scenario) -> None:
         self.scenario, self.rng = scenario, random.Random(seed)
-        self.scheduled: list[tuple[int, int, Callable[[int], None]]] = []
-        self.sequence = itertools.count()
+        super().__init__()
         self.sent: list[int] = []
         self.served = self.requested = 0
         old = [self.new_server(f"s{n}", n) for n in range(scenario.servers)]
@@ -238,9 +236,6 @@
         """A new server; their speeds differ by up to a fifth."""
         return ServerModel(name, number % 3, self.rng.uniform(0.8, 1.2), self.scenario.served_per_s)
 
-    def schedule(self, at: int, callback: Callable[[int], None]) -> None:
-        heapq.heappush(self.scheduled, (at, next(self.sequence), callback))
-
     def arrive(self, now: int) -> None:
         """Schedule the next request, and handle one at a gateway drawn by its share of the traffic."""
         peak = self.scenario.load * self.scenario.burst
@@ -264,9 +259,7 @@
             self.schedule(START + gateway.list_delay_ns, gateway.receive_changes)
             if gateway.me % 3 == 0:
                 self.schedule(START + int(self.rng.uniform(3, 9) * SECOND), gateway.restart)
-        while self.scheduled[0][0] < until:
-            now, _, callback = heapq.heappop(self.scheduled)
-            callback(now)
+        self.run_until(until)
 
 
 def run_fleet(seed: int, scenario: Scenario) -> Fleet:
--- a/tests/incident_soak.py
+++ b/tests/incident_soak.py
@@ -2,9 +2,9 @@
 
 Usual clients ask and keep their connections; others leave, come again with the same id, write far ahead, send
 half requests or flood; servers hang, turn away, reset, send long answers and state wrong lengths.  Discovery
-takes up to some seconds to tell that a server drains.  Then SIGTERM comes, once or in
-series, clients go on with the connections that stay open, and SIGKILL comes as early as the operators' pages
-allow.  ``run_seed`` returns what broke a rule.  By hand, with the first seed and their number:
+takes up to some seconds to tell that a server drains.  Then SIGTERM comes, once or in series, clients go on
+with the connections that stay open, and SIGKILL comes as early as the operators' pages allow.  ``run_seed``
+returns what broke a rule.  By hand, with the first seed and their number:
 
     .venv/bin/python -m tests.incident_soak 1 50
 """
@@ -59,7 +59,7 @@
 CROSSING_S = 0.05  # a request written so shortly before the gateway's end crosses it
 TOLD_S = 6.0  # so long after the start, a drain counts as told if discovery has not told it before,
 DRAIN_GRACE_NS = 250_000_000
-DRAIN_SLACK_S = 0.3  # and so much later nothing may be sent: the grace, and the protocol's 50 ms
+DRAIN_SLACK_S = DRAIN_GRACE_NS / 1e9 + 0.05  # and so much later nothing is sent: the protocol adds 50 ms
 HEARTBEAT_S = 2.0  # discovery sends an empty line so often
 LONG_BODY = 60_000 * b"z"
 LONG_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(LONG_BODY), LONG_BODY)
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -7,17 +7,16 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 import random
 from collections import defaultdict
-from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from functools import partial
 
 from gingerworks import interface
 from gingerworks.policy import Policy
-from tests.support import MS, SAFE, SECOND, listing, server, settings
+from tests.agenda import Agenda
+from tests.support import MS, SAFE, SECOND, SharedCounts, listing, server, settings
 
 ANSWER_NS = 100 * MS
 DEADLINE_NS = 6 * SECOND
@@ -35,10 +34,16 @@
 
 
 def plan(
-    name: str, rate: float, burst: float, price: float, overrun_cost: float, ceiling: float = 0.0
+    name: str,
+    rate: float,
+    burst: float,
+    price: float,
+    overrun_cost: float,
+    ceiling: float = 0.0,
+    max_units: float = UNITS[-1],
 ) -> interface.Plan:
     """A plan whose ceiling, if any, is that multiple of its rate and burst."""
-    slack = max(0.1 * ceiling * burst, UNITS[-1]) if ceiling else 0.0
+    slack = max(0.1 * ceiling * burst, max_units) if ceiling else 0.0
     return interface.Plan(
         name, rate, burst, 0, price, 0.0, overrun_cost, ceiling * rate, ceiling * burst, slack
     )
@@ -202,7 +207,7 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
-        self.totals: dict[int, tuple[float, int]] = {}
+        self.counts = SharedCounts()
         self.free_at_ns = 0.0
 
     def call(self, now: int, gateway: Gateway, action: interface.Count) -> None:
@@ -224,7 +229,7 @@
         done_ns = int(self.free_at_ns)
         answered_ns = done_ns + one_way_ns
         level = [0.0]
-        self.fleet.schedule(done_ns, lambda at: level.__setitem__(0, self.add(action, at)))
+        self.fleet.schedule(done_ns, lambda at: level.__setitem__(0, self.counts.add(action, at)))
         if answered_ns - now > deployment.call_timeout_ns:
             self.fleet.result.calls_unanswered += 1
             late = interface.Counted(action.name, interface.Status.EXPIRED, 0.0, deployment.call_timeout_ns)
@@ -238,13 +243,6 @@
                 ),
             )
 
-    def add(self, action: interface.Count, now: int) -> float:
-        total, expires_ns = self.totals.get(action.name, (0.0, 0))
-        if expires_ns <= now:
-            total, expires_ns = 0.0, now + action.ttl_ns
-        self.totals[action.name] = total + action.amount, expires_ns
-        return total + action.amount
-
 
 class Gateway:
     """One decision module, its open requests and its timers."""
@@ -301,13 +299,12 @@
         self.deliver_later(now + ANSWER_NS, answer)
 
 
-class Fleet:
+class Fleet(Agenda):
     """All gateways, customers and the counter, on one virtual clock."""
 
     def __init__(self, deployment: Deployment, seed: int) -> None:
         self.deployment, self.rng = deployment, random.Random(seed)
-        self.agenda: list[tuple[int, int, Callable[[int], None]]] = []
-        self.serial = itertools.count()
+        super().__init__()
         self.ids = itertools.count(1)
         self.result = Result()
         self.counter = SharedCounter(self)
@@ -323,9 +320,6 @@
         for customer in self.rng.sample(self.customers, HOT_CUSTOMERS):
             self.schedule(int(deployment.hot_period_s[0] * SECOND), partial(self.flood, customer=customer))
 
-    def schedule(self, at: int, callback: Callable[[int], None]) -> None:
-        heapq.heappush(self.agenda, (at, next(self.serial), callback))
-
     def new_customer(self, plan: interface.Plan, number: int) -> SimulatedCustomer:
         deployment, rng = self.deployment, self.rng
         gateway_count: int = max(2, int(deployment.gateways * rng.uniform(*deployment.gateway_fraction)))
@@ -470,8 +464,5 @@
 
     def run(self) -> Result:
         """Run the simulation to its end."""
-        end_ns = self.deployment.seconds * SECOND
-        while self.agenda[0][0] < end_ns:
-            now, _, callback = heapq.heappop(self.agenda)
-            callback(now)
+        self.run_until(self.deployment.seconds * SECOND)
         return self.result
--- a/tests/support.py
+++ b/tests/support.py
@@ -88,3 +88,18 @@
 def action_names(actions: list[interface.Action]) -> list[str]:
     """Type names of the actions, without timers."""
     return [type(a).__name__ for a in actions if not isinstance(a, interface.Wake)]
+
+
+class SharedCounts(dict[int, float]):
+    """The shared counter: totals by name, each kept for the time that its first call gave."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.expires_ns: dict[int, int] = {}
+
+    def add(self, call: interface.Count, now: int) -> float:
+        """Carry out a call; returns the total."""
+        if call.name not in self or self.expires_ns[call.name] <= now:
+            self[call.name], self.expires_ns[call.name] = 0.0, now + call.ttl_ns
+        self[call.name] += call.amount
+        return self[call.name]
--- a/tests/test_discovery_deadline.py
+++ b/tests/test_discovery_deadline.py
@@ -159,18 +159,17 @@
     One that would wait for too long is refused, but still takes its share of the time.
     """
 
-    MAX_WAIT_S = 2.0
-
-    def __init__(self, per_s: float) -> None:
+    def __init__(self, per_s: float, max_wait_s: float = 2.0) -> None:
         self.request_time_s = 1 / per_s
+        self.max_wait_s = max_wait_s
         self.free_at_s = 0.0
 
     async def script(self, peer: Peer, reader: Reader, writer: Writer) -> None:
         await reader.readuntil(b"\r\n\r\n")
         self.free_at_s = max(now(), self.free_at_s) + self.request_time_s
         wait = self.free_at_s - now()
-        await asyncio.sleep(min(wait, self.MAX_WAIT_S))
-        if wait > self.MAX_WAIT_S:
+        await asyncio.sleep(min(wait, self.max_wait_s))
+        if wait > self.max_wait_s:
             writer.write(BUSY)
             return
         writer.write(HEAD + line(9))
@@ -179,11 +178,11 @@
             writer.write(EMPTY)
 
 
-def first_report_times(gateways: int, per_s: float, seed: int) -> list[float]:
+def first_report_times(discovery: OverloadedDiscovery, gateways: int, seed: int) -> list[float]:
     """When each of many watches that start together first gets the list."""
 
     async def scenario() -> list[float]:
-        peer = await Peer(OverloadedDiscovery(per_s).script).start()
+        peer = await Peer(discovery.script).start()
         reported: dict[int, float] = {}
         watches = []
         for me in range(gateways):
@@ -208,6 +207,6 @@
 def test_a_fleet_that_discovery_refuses_gets_the_list_soon(gateways: int, per_s: float, seed: int) -> None:
     # The fleet brings six seconds of work at once.  With delays from 0 up to the same bound, discovery stayed
     # overloaded: while requests come faster than it handles them, it spends its time on ones given up.
-    reported = first_report_times(gateways, per_s, seed)
+    reported = first_report_times(OverloadedDiscovery(per_s), gateways, seed)
     assert len(reported) == gateways
     assert reported[-1] < 5 * gateways / per_s
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -17,6 +17,7 @@
     MS,
     SECOND,
     SMALL,
+    SharedCounts,
     action_names,
     listing,
     policy_with_servers,
@@ -53,22 +54,7 @@
     return [a for a in actions if isinstance(a, interface.Count)]
 
 
-class SharedCounter(dict[int, float]):
-    """The shared counter: totals by name, each kept for the time that its first call gave."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.expires_ns: dict[int, int] = {}
-
-    def add(self, call: interface.Count, now: int) -> float:
-        """Carry out a call; returns the total."""
-        if call.name not in self or self.expires_ns[call.name] <= now:
-            self[call.name], self.expires_ns[call.name] = 0.0, now + call.ttl_ns
-        self[call.name] += call.amount
-        return self[call.name]
-
-
-def serve_and_count(policy: Policy, now: int, todo: list[interface.Action], totals: SharedCounter) -> int:
+def serve_and_count(policy: Policy, now: int, todo: list[interface.Action], totals: SharedCounts) -> int:
     """Answer all attempts and calls, until no more follow; returns the number of attempts."""
     sent = 0
     while todo:
@@ -121,7 +107,7 @@
     ``lost_at``: the second in which the counter loses all its counts.
     """
     policies = [policy_with_servers(gateways=gateways, me=k) for k in range(gateways)]
-    totals = SharedCounter()
+    totals = SharedCounts()
     admitted = 0.0
     for step in range(seconds * 50):
         now = (step + 1) * 20 * MS
@@ -220,7 +206,7 @@
     # Guards against gateways that correct each other's corrections: that made eighteen thousand calls to one
     # count in a whole day.
     policies = [policy_with_servers() for _ in range(5)]
-    totals = SharedCounter()
+    totals = SharedCounts()
     now, pending = 40 * SECOND, list[tuple[Policy, interface.Count]]()
     for n, policy in enumerate(policies):
         actions = policy.handle(now, [request(n, plan="small", customer="c", entries=100)])
@@ -305,7 +291,7 @@
 
 def test_idle_customers_are_forgotten_however_many_there_were() -> None:
     policy = policy_with_servers()
-    most, totals = 0, SharedCounter()
+    most, totals = 0, SharedCounts()
     for n in range(3000):
         now = n * 20 * MS
         serve_and_count(
@@ -420,7 +406,7 @@
     gateways = [Policy(n, replace(fleet_settings, me=n), 0) for n in range(13)]
     for policy in gateways:
         policy.handle(0, [listing(server("s1"), server("s2"))])
-    store, refilled_ns, lowest, totals = TIGHT.ceiling_burst, 0, TIGHT.ceiling_burst, SharedCounter()
+    store, refilled_ns, lowest, totals = TIGHT.ceiling_burst, 0, TIGHT.ceiling_burst, SharedCounts()
     rng = random.Random(5)
     for number in range(4000):
         # One request for each gateway long before, so that all know the customer; then a flood, of which one
@@ -507,7 +493,7 @@
 def test_what_readings_book_is_taken_from_the_part_of_the_ceiling_too() -> None:
     # 31 requests admitted by readings and 27 without one, within three seconds, took a store of 26 units
     # beyond its slack.
-    policy, totals = policy_with_servers(server("s1")), SharedCounter()
+    policy, totals = policy_with_servers(server("s1")), SharedCounts()
     booked = unread = 0
     for n in range(100):
         now = 30 * SECOND + n * MS
@@ -619,7 +605,7 @@
     read_fraction: float,
 ) -> None:
     plans = (replace(SMALL, price=0.0), replace(SMALL, name="free of cost", overrun_cost=0.0))
-    policy, totals = policy_with_servers(server("s1"), plans=plans), SharedCounter()
+    policy, totals = policy_with_servers(server("s1"), plans=plans), SharedCounts()
     sent = dict.fromkeys((plan.name for plan in plans), 0)
     for number in range(300):
         plan = plans[number % 2].name
@@ -636,7 +622,7 @@
     # After a few late answers one request was reported in place of ten that had been refused: it emptied the
     # store for all gateways.
     for plan in ("small", "capped"):
-        policy, totals, reported, sent = policy_with_servers(server("s1")), SharedCounter(), 0.0, 0
+        policy, totals, reported, sent = policy_with_servers(server("s1")), SharedCounts(), 0.0, 0
         for number in range(400):
             now = number * 40 * MS
             policy.quotas.read_fraction = policy.quotas.sustained_fraction = 0.25
@@ -684,7 +670,7 @@
     # added 276,673 requests.
     policies, totals, rng = (
         [policy_with_servers() for _ in range(gateways)],
-        SharedCounter(),
+        SharedCounts(),
         random.Random(3),
     )
     in_flight: list[tuple[Policy, interface.Count, float]] = []
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import json
+import math
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 import pytest
 
@@ -14,21 +14,22 @@
 from gingerworks.gateway.server_list import Change
 from tests import loopback, virtual_time
 from tests.loopback import OK, Client, Peer, Reader, Writer, answering_server, build_request, entry, listing
+from tests.test_discovery_deadline import (
+    CHANGE_DEADLINE_S,
+    HEAD,
+    HEARTBEAT_S,
+    OverloadedDiscovery,
+    first_report_times,
+    now,
+)
 
-HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-CHANGE_DEADLINE_S = 6.0  # the operators' requirement, independent of the constant in the code
 TURN_S = 0.1  # for what takes no virtual time but a delay of some milliseconds
-HEARTBEAT_S = 2.0
 KNOWN = 41  # the version that the gateway knows at its start
 SLOW_S = [2.4, 3.0, 4.5, 5.8]
 
 
-def now() -> float:
-    return asyncio.get_running_loop().time()
-
-
-def line(index: int, snapshot: bool = True, **changes: Any) -> bytes:
-    text = json.dumps(listing(entry("a", ("127.0.0.1", 1)), index=index, snapshot=snapshot) | changes)
+def line(index: int, snapshot: bool = True) -> bytes:
+    text = json.dumps(listing(entry("a", ("127.0.0.1", 1)), index=index, snapshot=snapshot))
     return chunk(text.encode() + b"\n")
 
 
@@ -189,34 +190,8 @@
 # Guards against a crowd that keeps discovery busy with calls that were given up, and never hears the answers.
 @pytest.mark.parametrize(("gateways", "per_s"), [(40, 10.0), (200, 40.0)])
 def test_a_fleet_that_waits_in_line_at_discovery_is_answered_in_turn(gateways: int, per_s: float) -> None:
-    async def scenario() -> list[float]:
-        free_at_s = 0.0
-
-        async def script(peer: Peer, reader: Reader, writer: Writer) -> None:
-            nonlocal free_at_s
-            await reader.readuntil(b"\r\n\r\n")
-            free_at_s = max(now(), free_at_s) + 1 / per_s
-            await at_once(free_at_s - now(), writer)
-            while True:
-                await asyncio.sleep(HEARTBEAT_S)
-                writer.write(chunk(b"\n"))
-
-        peer = await Peer(script).start()
-        heard: dict[int, float] = {}
-        watches = []
-        for me in range(gateways):
-
-            def on_change(change: Change, me: int = me) -> None:
-                heard.setdefault(me, now())
-
-            watches.append(asyncio.ensure_future(Watch(peer.address, KNOWN, me, on_change, gateways).run()))
-        while len(heard) < gateways and now() < 60.0:
-            await asyncio.sleep(0.1)
-        for watch in watches:
-            watch.cancel()
-        return sorted(heard.values())
-
-    heard = virtual_time.run(scenario())
+    discovery = OverloadedDiscovery(per_s, max_wait_s=math.inf)  # it refuses nobody
+    heard = first_report_times(discovery, gateways, seed=0)
     assert len(heard) == gateways
     assert heard[-1] < gateways / per_s + TURN_S < CHANGE_DEADLINE_S
 
